--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,123 @@
+// Package catalog holds what the operator and the endpoints have published:
+// routes, client accounts, groups and endpoints. Values are immutable once
+// published, so that traffic reads them without locks.
+package catalog
+
+import (
+	"time"
+
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+)
+
+// Freshness is the rule for the reads of a route.
+type Freshness uint8
+
+// The freshness rules.
+const (
+	// Latest reads see every acknowledged commit, so they run at the primary.
+	Latest Freshness = iota
+	// Bounded reads see every commit acknowledged longer than MaxStaleness ago.
+	Bounded
+	// OwnWrites reads are Bounded and see all commits of their session.
+	OwnWrites
+)
+
+// String returns the rule as logs and metrics name it.
+func (f Freshness) String() string {
+	switch f {
+	case Latest:
+		return "latest"
+	case Bounded:
+		return "bounded"
+	default:
+		return "own_writes"
+	}
+}
+
+// Route says how the statements for one database are handled.
+type Route struct {
+	Database  string
+	Group     fleet.GroupID
+	Freshness Freshness
+	// Open routes accept callers without a key.
+	Open bool
+	// StatementTimeout bounds one statement.
+	StatementTimeout time.Duration
+	// Objective is the latency objective of a whole operation.
+	Objective time.Duration
+	// Priority orders waiting operations; 0 goes first.
+	Priority     int
+	MaxStaleness time.Duration
+}
+
+// Account is a client account's limits over all instances together.
+type Account struct {
+	ID fleet.AccountID
+	// Rate is in operations per second, Burst in operations.
+	Rate, Burst float64
+}
+
+// Group is one primary with its replicas.
+type Group struct {
+	ID fleet.GroupID
+	// MaxConnections is each endpoint's ceiling over all instances.
+	MaxConnections int
+	SyncReplicas   int
+}
+
+// Catalog is one version of the operator's configuration.
+type Catalog struct {
+	Version uint64
+	// Routes are by database name.
+	Routes   map[string]Route
+	Accounts map[fleet.AccountID]Account
+	// Keys give the account of each key in force.
+	Keys   map[string]fleet.AccountID
+	Groups map[fleet.GroupID]Group
+	// TransactionIdle bounds the pause between statements of a transaction.
+	TransactionIdle time.Duration
+	// Raw is the published form, passed on to instances without the store.
+	Raw []byte
+}
+
+// Endpoint is an endpoint's entry in the platform's list.
+type Endpoint struct {
+	ID         fleet.EndpointID
+	Group      fleet.GroupID
+	Addr       string
+	DataCentre fleet.DataCentre
+	Slots      int
+	// Leaving endpoints accept no new work and end soon.
+	Leaving bool
+	// Primary is the endpoint's own opinion, which may be out of date.
+	Primary bool
+	// Warming is how long after its start the endpoint stays slow.
+	Warming time.Duration
+}
+
+// Leadership is the agreed record of a group's primary.
+type Leadership struct {
+	Group fleet.GroupID
+	// Version is the store's version of the record. It grows with every change
+	// and serves as the fence number of the change's holder.
+	Version uint64
+	Term    fleet.Term
+	Primary fleet.EndpointID
+	// Former is the primary before Primary.
+	Former fleet.EndpointID
+	// Holder is the instance that carries out the change.
+	Holder fleet.InstanceID
+	// Settled is false while a change of primary is under way. No statement
+	// may be sent to any primary of the group meanwhile.
+	Settled bool
+	// Planned changes wait for open transactions and lose no commit.
+	Planned bool
+}
+
+// Member is an instance of the fleet.
+type Member struct {
+	ID         fleet.InstanceID
+	DataCentre fleet.DataCentre
+	// Addr is the host:port of the protocol between instances.
+	Addr string
+}
--- /dev/null
+++ b/core/placing/placing.go
@@ -0,0 +1,163 @@
+// Package placing chooses the endpoint for a statement, limits what is in
+// flight at each endpoint, and decides which waiting statement goes next and
+// which is refused.
+//
+// The load it answers: a few endpoints with a few slots each, shared by all
+// instances, whose own queue is first come, first served. Statements beyond
+// the limit wait here, where their urgency is known, and are refused as soon
+// as they can no longer be answered in time.
+package placing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// gain is the weight of a new sample in the smoothed slowdown: it follows a
+	// slow endpoint within about ten answers.
+	gain = 0.15
+	// forget is the time constant with which an endpoint's slowdown returns to
+	// normal without samples, so that a recovered endpoint is tried again.
+	forget = 1500 * time.Millisecond
+	// congested and calm are the slowdowns at which the limit shrinks and may
+	// grow. The typical time is a low quantile, so an idle endpoint shows 1.5
+	// to 2.
+	congested = 5.0
+	calm      = 3.0
+	// cutPause is the least time between two cuts of a limit, about the time
+	// in which a cut shows in the answers.
+	cutPause = 60 * time.Millisecond
+)
+
+// Work estimates the time that a kind of statement takes at an endpoint with
+// free slots.
+type Work struct{ typical time.Duration }
+
+// startWork is the estimate before the first answer, about the mean of the
+// deployments known.
+const startWork = 15 * time.Millisecond
+
+// Typical returns the estimate.
+func (w *Work) Typical() time.Duration {
+	if w.typical == 0 {
+		return startWork
+	}
+	return w.typical
+}
+
+// Sample records how long a statement took. The estimate follows a low
+// quantile: it falls five times as fast as it rises, so that queueing at the
+// endpoints does not pass for work.
+func (w *Work) Sample(took time.Duration) {
+	t := w.Typical()
+	if took < t {
+		t -= (t - took) / 20
+	} else {
+		t += min(took-t, 4*t) / 100
+	}
+	w.typical = max(t, 100*time.Microsecond)
+}
+
+// Load is what is known of one endpoint.
+type Load struct {
+	// InFlight counts this instance's statements at the endpoint.
+	InFlight int
+	limit    float64
+	ceiling  int
+	slowdown float64
+	sampled  time.Duration
+	cut      time.Duration
+}
+
+// NewLoad returns the load of an endpoint with the given number of slots, of
+// which at most ceiling statements may be in flight from here.
+func NewLoad(slots, ceiling int) *Load {
+	l := &Load{limit: float64(max(1, slots)), slowdown: 1.5}
+	l.SetCeiling(ceiling)
+	return l
+}
+
+// SetCeiling changes the ceiling.
+func (l *Load) SetCeiling(n int) {
+	l.ceiling = max(1, n)
+	l.limit = math.Min(l.limit, float64(l.ceiling))
+}
+
+// Room reports whether another statement may be sent.
+func (l *Load) Room() bool { return l.InFlight < int(l.limit) }
+
+// Limit returns how many statements may be in flight.
+func (l *Load) Limit() int { return int(l.limit) }
+
+// Slowdown returns how much longer than typical the endpoint takes.
+func (l *Load) Slowdown(now time.Duration) float64 {
+	idle := (now - l.sampled).Seconds() / forget.Seconds()
+	return 1.5 + (l.slowdown-1.5)*math.Exp(-math.Max(0, idle))
+}
+
+// Answered records an answer that took the given time for a statement of the
+// given typical time.
+func (l *Load) Answered(now, took, typical time.Duration) {
+	s := math.Min(float64(took)/float64(typical), 50)
+	l.slowdown = l.Slowdown(now)*(1-gain) + s*gain
+	l.sampled = now
+	switch {
+	case l.slowdown > congested && now >= l.cut+cutPause:
+		l.limit = math.Max(1, l.limit-1)
+		l.cut = now
+	case l.slowdown < calm && l.InFlight >= int(l.limit)-1:
+		l.limit = math.Min(float64(l.ceiling), l.limit+1/l.limit)
+	}
+}
+
+// Refused records that the endpoint refused a statement for lack of room, or
+// did not answer.
+func (l *Load) Refused(now time.Duration) {
+	if now >= l.cut+cutPause {
+		l.limit = math.Max(1, l.limit/2)
+		l.cut = now
+	}
+	l.slowdown = math.Min(20, math.Max(l.Slowdown(now)*1.3, congested))
+	l.sampled = now
+}
+
+// Expected returns when a statement sent now would be answered.
+func (l *Load) Expected(now, typical, distance time.Duration, slots int) time.Duration {
+	queue := 1 + float64(l.InFlight)/float64(max(1, slots))
+	return 2*distance + time.Duration(float64(typical)*l.Slowdown(now)*queue)
+}
+
+// Waiter is a statement that waits for an endpoint.
+type Waiter struct {
+	// Priority orders waiters; 0 goes first.
+	Priority int
+	// Held is the number of statements that the waiter's client account has in
+	// flight or was given lately; the account with the fewest goes first among
+	// equals.
+	Held float64
+	// Since is when the waiter arrived.
+	Since time.Duration
+	// Latest is the last moment at which starting is of use.
+	Latest time.Duration
+}
+
+// Before reports whether a goes before b. Statements that continue what
+// callers have begun carry priority -1.
+func (a Waiter) Before(b Waiter) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if math.Abs(a.Held-b.Held) >= 1 {
+		return a.Held < b.Held
+	}
+	return a.Since < b.Since
+}
+
+// Hopeless reports whether a statement that would find ahead others waiting
+// before it cannot start by latest: each of room concurrent statements takes
+// about expected.
+func Hopeless(now, latest, expected time.Duration, ahead, room int) bool {
+	wait := time.Duration(float64(expected) * float64(ahead) / float64(max(1, room)))
+	return now+wait > latest
+}
--- a/daemon/control/bundle.go
+++ b/daemon/control/bundle.go
@@ -17,7 +17,7 @@
 	"github.com/vanillahinge/vanillahinge/core/fresh"
 	"github.com/vanillahinge/vanillahinge/core/slot"
 	peerv1 "github.com/vanillahinge/vanillahinge/peer/v1"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // Rows of the table.
@@ -266,7 +266,7 @@
 func (c *Control) current(ctx context.Context) (currentVersion, *bundle.Document, error) {
 	var out currentVersion
 	row, err := c.cfg.Table.Get(ctx, bundleRow)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tablestore.ErrNotFound) {
 		return out, nil, nil
 	}
 	if err != nil {
@@ -306,8 +306,8 @@
 	key := objectKey(o.doc.Version)
 	objCtx, cancel := context.WithTimeout(ctx, objectBound)
 	defer cancel()
-	if err := platform.PutObjectResolved(objCtx, c.cfg.Objects, key, o.envelope); err != nil {
-		if errors.Is(err, platform.ErrConflict) {
+	if err := tablestore.PutObjectResolved(objCtx, c.cfg.Objects, key, o.envelope); err != nil {
+		if errors.Is(err, tablestore.ErrConflict) {
 			return fmt.Errorf("%w: another bundle with version %d exists; take a higher version", ErrRace, o.doc.Version)
 		}
 		// Only the object may have been written; no row names it.
@@ -324,15 +324,15 @@
 	}
 	rowCtx, cancelRow := context.WithTimeout(ctx, rowBound)
 	defer cancelRow()
-	row, err := platform.PutResolved(rowCtx, c.cfg.Table, bundleRow, ifVersion, value, mine)
+	row, err := tablestore.PutResolved(rowCtx, c.cfg.Table, bundleRow, ifVersion, value, mine)
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, tablestore.ErrConflict):
 		var won currentRow
 		if json.Unmarshal(row.Value, &won) == nil && won.Version > 0 {
 			return fmt.Errorf("%w: version %d is in force; apply the change to it and take version %d", ErrRace, won.Version, max(won.Version, o.doc.Version)+1)
 		}
 		return ErrRace
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, tablestore.ErrUnavailable):
 		return fmt.Errorf("%w: %w", ErrUnknown, err)
 	case err != nil:
 		return err
@@ -435,7 +435,7 @@
 	defer cancel()
 	for {
 		row, err := c.cfg.Table.Get(ctx, withdrawalsRow)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, tablestore.ErrNotFound) {
 			return fmt.Errorf("control: read row %s: %w", withdrawalsRow, err)
 		}
 		var have withdrawalRow
@@ -469,8 +469,8 @@
 				var r withdrawalRow
 				return json.Unmarshal(v, &r) == nil && r.Nonce == next.Nonce
 			}
-			if _, err := platform.PutResolved(ctx, c.cfg.Table, withdrawalsRow, row.Version, value, mine); err != nil {
-				if errors.Is(err, platform.ErrConflict) {
+			if _, err := tablestore.PutResolved(ctx, c.cfg.Table, withdrawalsRow, row.Version, value, mine); err != nil {
+				if errors.Is(err, tablestore.ErrConflict) {
 					continue
 				}
 				return err
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -20,7 +20,7 @@
 	"github.com/vanillahinge/vanillahinge/ctl"
 	"github.com/vanillahinge/vanillahinge/daemon/logging"
 	"github.com/vanillahinge/vanillahinge/peer/v1/peerv1connect"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // Endpoints watches database endpoints and sends them VH commands.
@@ -51,9 +51,9 @@
 	// Run identifies the process run.
 	Run       string
 	Operators bundle.Operators
-	Table     platform.Table
-	Objects   platform.Objects
-	Instances platform.Instances
+	Table     tablestore.Table
+	Objects   tablestore.Objects
+	Instances tablestore.Instances
 	// Peer returns the client of a peer address.
 	Peer      func(addr string) peerv1connect.PeerClient
 	Endpoints Endpoints
@@ -170,7 +170,7 @@
 	// draining closes idle sessions through the view.
 	draining    bool
 	handedOver  bool
-	instances   []platform.Listed
+	instances   []tablestore.Listed
 	listKnown   bool
 	round       uint64
 	storeOK     time.Duration // last answer of the table
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -15,7 +15,7 @@
 	"github.com/vanillahinge/vanillahinge/core/member"
 	"github.com/vanillahinge/vanillahinge/core/slot"
 	peerv1 "github.com/vanillahinge/vanillahinge/peer/v1"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // Guards against a published bundle that is not in force everywhere within the
@@ -180,7 +180,7 @@
 	row := f.store.rows[bundleRow]
 	value, err := json.Marshal(currentRow{Version: 1, SHA256: bundle.Sum(old), Object: "bundles/1"})
 	assert.NilError(t, err)
-	f.store.rows[bundleRow] = platform.Row{Key: bundleRow, Version: row.Version + 1, Value: value}
+	f.store.rows[bundleRow] = tablestore.Row{Key: bundleRow, Version: row.Version + 1, Value: value}
 	f.store.mu.Unlock()
 	res, err := f.c["i3"].Peers().Accept(context.Background(), &peerv1.AcceptRequest{From: "i9", Bundle: old})
 	assert.NilError(t, err)
@@ -318,7 +318,7 @@
 	value, err := json.Marshal(withdrawalRow{Envelopes: [][]byte{foreign, f.withdrawal("a-1")}})
 	assert.NilError(t, err)
 	f.store.mu.Lock()
-	f.store.rows[withdrawalsRow] = platform.Row{Key: withdrawalsRow, Version: 1, Value: value}
+	f.store.rows[withdrawalsRow] = tablestore.Row{Key: withdrawalsRow, Version: 1, Value: value}
 	f.store.mu.Unlock()
 	f.eventually("a-1 is withdrawn", 5*time.Second, func() bool { return f.c["i1"].View().Load().Withdrawn["a-1"] })
 	res, err := f.c["i1"].Withdraw(context.Background(), f.withdrawal("b-1"))
--- a/daemon/control/fake_test.go
+++ b/daemon/control/fake_test.go
@@ -19,15 +19,15 @@
 	"github.com/vanillahinge/vanillahinge/daemon/logging"
 	peerv1 "github.com/vanillahinge/vanillahinge/peer/v1"
 	"github.com/vanillahinge/vanillahinge/peer/v1/peerv1connect"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // fakeStore is the platform's service in memory.
 type fakeStore struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]tablestore.Row
 	objects map[string]string
-	listed  []platform.Listed
+	listed  []tablestore.Listed
 	down    bool
 	// lose makes the next puts of a row take effect without an answer.
 	lose map[string]int
@@ -36,7 +36,7 @@
 }
 
 func newStore() *fakeStore {
-	return &fakeStore{rows: map[string]platform.Row{}, objects: map[string]string{}, lose: map[string]int{}}
+	return &fakeStore{rows: map[string]tablestore.Row{}, objects: map[string]string{}, lose: map[string]int{}}
 }
 
 func (s *fakeStore) setDown(down bool) {
@@ -45,50 +45,50 @@
 	s.down = down
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Row, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (tablestore.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return tablestore.Row{}, tablestore.ErrUnavailable
 	}
 	r, ok := s.rows[key]
 	if !ok {
-		return r, platform.ErrNotFound
+		return r, tablestore.ErrNotFound
 	}
 	return r, nil
 }
 
-func (s *fakeStore) Put(_ context.Context, key string, ifVersion uint64, v []byte) (platform.Row, error) {
+func (s *fakeStore) Put(_ context.Context, key string, ifVersion uint64, v []byte) (tablestore.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return tablestore.Row{}, tablestore.ErrUnavailable
 	}
 	if s.rows[key].Version != ifVersion {
-		return platform.Row{}, platform.ErrConflict
+		return tablestore.Row{}, tablestore.ErrConflict
 	}
-	s.rows[key] = platform.Row{Key: key, Version: ifVersion + 1, Value: v}
+	s.rows[key] = tablestore.Row{Key: key, Version: ifVersion + 1, Value: v}
 	if s.downAfter == key {
 		s.down = true
 	}
 	if s.lose[key] > 0 {
 		s.lose[key]--
-		return platform.Row{}, platform.ErrUnavailable
+		return tablestore.Row{}, tablestore.ErrUnavailable
 	}
 	return s.rows[key], nil
 }
 
-func (s *fakeStore) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
+func (s *fakeStore) List(context.Context, string) ([]tablestore.Row, error) { return nil, nil }
 
 func (s *fakeStore) GetObject(_ context.Context, key string) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, platform.ErrUnavailable
+		return nil, tablestore.ErrUnavailable
 	}
 	o, ok := s.objects[key]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, tablestore.ErrNotFound
 	}
 	return []byte(o), nil
 }
@@ -97,10 +97,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	}
 	if o, ok := s.objects[key]; ok && o != string(data) {
-		return platform.ErrConflict
+		return tablestore.ErrConflict
 	}
 	s.objects[key] = string(data)
 	return nil
@@ -112,16 +112,16 @@
 	on func() bool
 }
 
-func (l fakeList) List(context.Context) ([]platform.Listed, error) {
+func (l fakeList) List(context.Context) ([]tablestore.Listed, error) {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
 	if l.s.down || !l.on() {
-		return nil, platform.ErrUnavailable
+		return nil, tablestore.ErrUnavailable
 	}
-	return append([]platform.Listed(nil), l.s.listed...), nil
+	return append([]tablestore.Listed(nil), l.s.listed...), nil
 }
 
-func (l fakeList) Register(context.Context, platform.Listed) error { return nil }
+func (l fakeList) Register(context.Context, tablestore.Listed) error { return nil }
 
 // cutTable is the store as seen by an instance that may be cut off.
 type cutTable struct {
@@ -129,16 +129,16 @@
 	on func() bool
 }
 
-func (t cutTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t cutTable) Get(ctx context.Context, key string) (tablestore.Row, error) {
 	if !t.on() {
-		return platform.Row{}, platform.ErrUnavailable
+		return tablestore.Row{}, tablestore.ErrUnavailable
 	}
 	return t.fakeStore.Get(ctx, key)
 }
 
-func (t cutTable) Put(ctx context.Context, key string, v uint64, b []byte) (platform.Row, error) {
+func (t cutTable) Put(ctx context.Context, key string, v uint64, b []byte) (tablestore.Row, error) {
 	if !t.on() {
-		return platform.Row{}, platform.ErrUnavailable
+		return tablestore.Row{}, tablestore.ErrUnavailable
 	}
 	return t.fakeStore.Put(ctx, key, v, b)
 }
@@ -241,7 +241,7 @@
 		f.ops[id], f.keys = pub, append(f.keys, k)
 	}
 	for _, id := range ids {
-		f.store.listed = append(f.store.listed, platform.Listed{ID: fleet.InstanceID(id), DataCentre: "dc1", PeerAddr: id})
+		f.store.listed = append(f.store.listed, tablestore.Listed{ID: fleet.InstanceID(id), DataCentre: "dc1", PeerAddr: id})
 	}
 	for _, id := range ids {
 		f.start(id)
--- a/daemon/control/groups.go
+++ b/daemon/control/groups.go
@@ -14,7 +14,7 @@
 	"github.com/vanillahinge/vanillahinge/core/term"
 	"github.com/vanillahinge/vanillahinge/core/view"
 	"github.com/vanillahinge/vanillahinge/ctl"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // group is what the control goroutine knows of one database group.
@@ -264,7 +264,7 @@
 	ans := term.RowAnswer{Attempt: attempt}
 	row, err := c.cfg.Table.Get(ctx, groupRow(id))
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, tablestore.ErrNotFound):
 		ans.Result = term.OK
 	case err == nil && json.Unmarshal(row.Value, &ans.Row) == nil:
 		ans.Result, ans.Version = term.OK, row.Version
@@ -283,7 +283,7 @@
 	switch {
 	case err == nil:
 		ans.Result, ans.Version = term.OK, row.Version
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, tablestore.ErrConflict):
 		ans.Result = term.Refused
 	}
 	return ans
--- a/daemon/control/table.go
+++ b/daemon/control/table.go
@@ -14,7 +14,7 @@
 	"github.com/vanillahinge/vanillahinge/core/member"
 	"github.com/vanillahinge/vanillahinge/core/slot"
 	peerv1 "github.com/vanillahinge/vanillahinge/peer/v1"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // rows is one read of the rows that freshness depends on.
@@ -72,10 +72,10 @@
 	r.slots.row = true
 	var wg sync.WaitGroup
 	var errs [3]error
-	get := func(i int, key string, into func(platform.Row) error) {
+	get := func(i int, key string, into func(tablestore.Row) error) {
 		wg.Go(func() {
 			row, err := c.cfg.Table.Get(ctx, key)
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, tablestore.ErrNotFound) {
 				return
 			}
 			if err == nil {
@@ -86,12 +86,12 @@
 			}
 		})
 	}
-	get(0, bundleRow, func(row platform.Row) error { return json.Unmarshal(row.Value, &r.current) })
-	get(1, slotsRow, func(row platform.Row) error {
+	get(0, bundleRow, func(row tablestore.Row) error { return json.Unmarshal(row.Value, &r.current) })
+	get(1, slotsRow, func(row tablestore.Row) error {
 		r.slots.version = row.Version
 		return json.Unmarshal(row.Value, &r.slots.table)
 	})
-	get(2, withdrawalsRow, func(row platform.Row) error { return json.Unmarshal(row.Value, &r.withdraw) })
+	get(2, withdrawalsRow, func(row tablestore.Row) error { return json.Unmarshal(row.Value, &r.withdraw) })
 	wg.Wait()
 	return r, errors.Join(errs[:]...)
 }
@@ -157,7 +157,7 @@
 
 // register tells the platform that this instance lives or leaves.
 func (c *Control) register() {
-	l := platform.Listed{ID: c.cfg.Instance, DataCentre: c.cfg.DataCentre, PeerAddr: c.cfg.PeerAddr, OpsAddr: c.cfg.OpsAddr, Leaving: c.leaving}
+	l := tablestore.Listed{ID: c.cfg.Instance, DataCentre: c.cfg.DataCentre, PeerAddr: c.cfg.PeerAddr, OpsAddr: c.cfg.OpsAddr, Leaving: c.leaving}
 	c.worker(tableTimeout, func(ctx context.Context) {
 		if err := c.cfg.Instances.Register(ctx, l); err != nil {
 			c.cfg.Log.Debug("instance is not registered", "error", err.Error())
@@ -177,7 +177,7 @@
 	})
 }
 
-func (c *Control) listed(now time.Duration, l []platform.Listed) {
+func (c *Control) listed(now time.Duration, l []tablestore.Listed) {
 	if len(l) == 0 {
 		// The first registration is still on its way. An empty list names no
 		// witnesses, and as one of the lists of the last 30 s it would delay
@@ -248,7 +248,7 @@
 		switch {
 		case err == nil:
 			ans.Result, ans.Version = slot.Won, row.Version
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, tablestore.ErrConflict):
 			ans.Result = slot.Conflict
 		default:
 			ans.Result = slot.Unanswered
@@ -266,7 +266,7 @@
 		row, err := c.cfg.Table.Get(ctx, slotsRow)
 		var t slot.Table
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, tablestore.ErrNotFound):
 		case err != nil:
 			return
 		default:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,7 +37,7 @@
 	"github.com/vanillahinge/vanillahinge/daemon/ops"
 	"github.com/vanillahinge/vanillahinge/peer"
 	peerv1 "github.com/vanillahinge/vanillahinge/peer/v1"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 	"github.com/vanillahinge/vanillahinge/proxy/auth"
 	"github.com/vanillahinge/vanillahinge/proxy/front"
 	"github.com/vanillahinge/vanillahinge/proxy/pool"
@@ -56,7 +56,7 @@
 	registry  metrics.Registry
 	ring      *decision.Ring
 	burn      *burn.Tracker
-	platform  *platform.Client
+	platform  *tablestore.Client
 	peers     *peer.Clients
 	endpoints *ctl.Control
 	control   *control.Control
@@ -80,7 +80,7 @@
 		ring: decision.NewRing(s.Instance, s.Decisions),
 	}
 	d.burn = burn.NewTracker(s.Instance, d.ring, d.registry)
-	d.platform = platform.NewClient(s.Platform.Addr, s.Instance, time.Duration(s.Platform.Timeout))
+	d.platform = tablestore.NewClient(s.Platform.Addr, s.Instance, time.Duration(s.Platform.Timeout))
 	if s.PeerTLS != nil {
 		cert, err := auth.LoadCertificate(s.TLS.Peers.Certificate, s.TLS.Peers.Key)
 		if err != nil {
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -33,7 +33,7 @@
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/daemon/control"
 	"github.com/vanillahinge/vanillahinge/daemon/logging"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 	"github.com/vanillahinge/vanillahinge/report/decision"
 )
 
@@ -177,7 +177,7 @@
 		return http.StatusConflict, "race"
 	case errors.Is(err, bundle.ErrOlderVersion):
 		return http.StatusConflict, "older"
-	case errors.Is(err, control.ErrStore), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, control.ErrStore), errors.Is(err, tablestore.ErrUnavailable):
 		return http.StatusServiceUnavailable, "store"
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return http.StatusServiceUnavailable, "busy"
--- /dev/null
+++ b/edge/control/feed.go
@@ -0,0 +1,276 @@
+package control
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/rows"
+	"github.com/vanillahinge/vanillahinge/edge/exchange"
+)
+
+const (
+	// ownWait is how long the store may hold a call for the fleet's own table.
+	// Each answer renews the permission to use primaries, so it is well below
+	// lease.Duration.
+	ownWait = time.Second
+	// tableWait is how long it may hold one for the other tables. A connection
+	// that has gone silent is noticed after it, so it is below the 3 s within
+	// which a configuration has to be in force.
+	tableWait = 2 * time.Second
+	// feedSlack is how much longer than its wait a call may take: a store that
+	// answers 75 times more slowly than usual needs 300 ms.
+	feedSlack = 600 * time.Millisecond
+	// readTimeout bounds a read of a whole table.
+	readTimeout = 1500 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed call.
+	retryMin = 100 * time.Millisecond
+	retryMax = 800 * time.Millisecond
+)
+
+type feed struct {
+	table string
+	wait  time.Duration
+	// proof says that a complete copy proves that no change of primary is
+	// unknown.
+	proof bool
+}
+
+// follow keeps a table up to date from the store.
+func (c *Control) follow(ctx context.Context, f feed) {
+	after, whole := uint64(0), true
+	failures := 0
+	lost := time.Duration(0)
+	for ctx.Err() == nil {
+		start := c.Clock.Now()
+		var got []rows.Row
+		var asOf uint64
+		var err error
+		if whole {
+			call, cancel := context.WithTimeout(ctx, readTimeout)
+			got, asOf, err = c.Store.ReadTable(call, f.table)
+			cancel()
+		} else {
+			call, cancel := context.WithTimeout(ctx, f.wait+feedSlack)
+			got, asOf, err = c.Store.Changes(call, f.table, after, f.wait)
+			cancel()
+		}
+		c.Metrics.Count(`store_calls{table="` + f.table + `"}`)
+		switch {
+		case errors.Is(err, rows.ErrHistoryGone):
+			c.Log.Info("store: history gone; reading the whole table", "table", f.table)
+			whole = true
+			continue
+		case err != nil:
+			if failures++; failures == 1 {
+				lost = start
+				c.Log.Warn("store: lost", "table", f.table, "error", err.Error())
+			}
+			c.Metrics.Count(`store_failures{table="` + f.table + `"}`)
+			if !sleep(ctx, min(retryMin<<min(failures-1, 4), retryMax)) {
+				return
+			}
+			continue
+		}
+		if failures > 0 {
+			c.Log.Info("store: regained", "table", f.table, "away_ms", (c.Clock.Now() - lost).Milliseconds())
+			failures = 0
+		}
+		replace := whole
+		whole = false
+		after = max(after, asOf)
+		if c.do(ctx, func() {
+			if replace {
+				c.replace(f.table, got, asOf)
+			} else {
+				c.apply(f.table, got, asOf)
+			}
+			if f.proof {
+				c.lease.Prove(start)
+				c.renew()
+			}
+		}) != nil {
+			return
+		}
+	}
+}
+
+// sleep pauses unless ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// digest identifies the rows of a table by their keys and versions.
+func digest(all map[string]rows.Row) uint64 {
+	h := xxhash.New()
+	for _, k := range slices.Sorted(maps.Keys(all)) {
+		_, _ = h.WriteString(k)
+		_, _ = h.Write(binary.LittleEndian.AppendUint64([]byte{0}, all[k].Version))
+	}
+	return h.Sum64()
+}
+
+// register lists this instance as a member, once its row is known to be
+// missing or out of date.
+func (c *Control) register(ctx context.Context) {
+	key := memberPrefix + string(c.Self.ID)
+	value, err := json.Marshal(c.Self)
+	if err != nil {
+		c.Log.Warn("control: cannot encode the member record", "error", err.Error())
+		return
+	}
+	for pause := retryMin; ; pause = min(pause*2, retryMax) {
+		known, current, version := false, false, uint64(0)
+		if c.do(ctx, func() {
+			known = c.tables[c.Names.Own].loaded
+			row, ok := c.tables[c.Names.Own].rows[key]
+			var m catalog.Member
+			current = ok && json.Unmarshal(row.Value, &m) == nil && m == c.Self
+			version = row.Version
+		}) != nil {
+			return
+		}
+		if current {
+			return
+		}
+		if known {
+			row := rows.Row{Table: c.Names.Own, Key: key, Version: version, Value: value}
+			call, cancel := context.WithTimeout(ctx, readTimeout)
+			_, err := c.Store.Apply(call, rows.Change{Require: []rows.Row{row}, Put: []rows.Row{row}})
+			cancel()
+			if err != nil {
+				c.Log.Warn("control: registration failed", "error", err.Error())
+			}
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+const (
+	// exchangePeriod is the time between calls to another instance: short
+	// against the 3 s within which a configuration has to be in force.
+	exchangePeriod = time.Second
+	// exchangeHurry is the period while the store gives this instance nothing.
+	exchangeHurry = 300 * time.Millisecond
+	// exchangeTimeout bounds a call.
+	exchangeTimeout = 500 * time.Millisecond
+	// storeLate is the age of the last proof above which the store counts as
+	// giving nothing.
+	storeLate = ownWait + feedSlack
+)
+
+// exchangeLoop calls the other instances.
+func (c *Control) exchangeLoop(ctx context.Context) {
+	for {
+		period := exchangePeriod
+		var calls []*peer
+		var u exchange.Update
+		if c.do(ctx, func() {
+			now := c.Clock.Now()
+			if at, ok := c.lease.Proof(); !ok || now > at+storeLate {
+				period = exchangeHurry
+			}
+			u = exchange.Update{From: c.Self.ID, Tables: c.tableStates(), Demand: c.Limiter.Demand(now)}
+			for _, p := range c.peers {
+				calls = append(calls, p)
+			}
+		}) != nil {
+			return
+		}
+		for _, p := range calls {
+			go c.callPeer(ctx, p, &u)
+		}
+		if !sleep(ctx, period) {
+			return
+		}
+	}
+}
+
+func (c *Control) tableStates() map[string]exchange.TableState {
+	out := make(map[string]exchange.TableState, len(c.tables))
+	for name, t := range c.tables {
+		if t.loaded {
+			out[name] = exchange.TableState{AsOf: t.asOf, Digest: t.digest}
+		}
+	}
+	return out
+}
+
+func (c *Control) callPeer(ctx context.Context, p *peer, u *exchange.Update) {
+	start := c.Clock.Now()
+	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	a, err := p.client.Update(call, u)
+	if err != nil {
+		_ = c.do(ctx, func() {
+			if refused := errors.Is(err, exchange.ErrNotRunning); refused != p.notRunning {
+				p.notRunning = refused
+				c.Log.Info("control: instance not running", "peer", string(p.ID), "not_running", refused)
+			}
+			c.Metrics.Count("exchange_failures")
+		})
+		p.client.Close()
+		return
+	}
+	_ = c.do(ctx, func() {
+		p.heard, p.demand, p.notRunning = start, a.Demand, false
+		for name, t := range a.Tables {
+			if own, ok := c.tables[name]; ok && t.AsOf > own.asOf {
+				c.replace(name, t.Rows, t.AsOf)
+			}
+		}
+		for _, l := range a.Leaders {
+			c.learnLeader(l)
+		}
+		c.publish()
+		c.lease.Answered(p.ID, start)
+		if a.ProofAge >= 0 {
+			c.lease.Prove(start - time.Duration(a.ProofAge)*time.Millisecond)
+		}
+		c.renew()
+	})
+}
+
+// Update answers another instance.
+func (c *Control) Update(ctx context.Context, u *exchange.Update) (*exchange.UpdateAnswer, error) {
+	a := &exchange.UpdateAnswer{ProofAge: -1}
+	err := c.do(ctx, func() {
+		now := c.Clock.Now()
+		if at, ok := c.lease.Proof(); ok {
+			// Rounded up, so that the proof does not become younger on the way.
+			a.ProofAge = (now - at).Milliseconds() + 1
+		}
+		a.Demand = c.Limiter.Demand(now)
+		for name, t := range c.tables {
+			if theirs := u.Tables[name]; t.loaded && t.asOf > theirs.AsOf && t.digest != theirs.Digest {
+				if a.Tables == nil {
+					a.Tables = map[string]exchange.Table{}
+				}
+				a.Tables[name] = exchange.Table{TableState: exchange.TableState{AsOf: t.asOf, Digest: t.digest},
+					Rows: slices.Collect(maps.Values(t.rows))}
+			}
+		}
+		for _, g := range c.groups {
+			if g.record.Version > 0 {
+				a.Leaders = append(a.Leaders, g.record)
+			}
+		}
+	})
+	return a, err
+}
--- /dev/null
+++ b/edge/engine/engine.go
@@ -0,0 +1,239 @@
+// Package engine runs the sessions of callers: it keeps session values,
+// prepared statements and transactions, decides where each statement goes, what
+// is repeated and what a caller is told when something fails. It knows no wire
+// protocol.
+//
+// Invariants:
+//   - A refusal that promises that nothing is kept is given only when no commit
+//     and no single write of the attempt was sent, or the endpoint itself said
+//     that it did not run.
+//   - A connection serves another session only in the idle state, with the whole
+//     answer to its last statement read.
+package engine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/placing"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
+	"github.com/vanillahinge/vanillahinge/edge/clock"
+	"github.com/vanillahinge/vanillahinge/edge/pool"
+	"github.com/vanillahinge/vanillahinge/edge/telemetry"
+	"github.com/vanillahinge/vanillahinge/edge/view"
+)
+
+// Caller is a caller's connection in some wire protocol.
+type Caller interface {
+	// Opening reads the database and the key that a caller names.
+	Opening(deadline time.Time) (database, key string, err error)
+	Welcome() error
+	Refuse(code stmt.Code, text string) error
+	// Statement reads the next statement. A zero deadline means none.
+	Statement(deadline time.Time) (stmt.Statement, error)
+	// Interrupt makes a pending Statement fail with a timeout.
+	Interrupt()
+	// Pending reports whether bytes of another statement have arrived.
+	Pending() bool
+	Answer(a stmt.Answer) error
+	Close()
+}
+
+// Protocol tells apart the errors of a wire protocol.
+type Protocol interface {
+	// Ended reports whether the caller ended its session.
+	Ended(err error) bool
+	// Unsupported reports whether the message was well formed, but no
+	// statement; the session goes on.
+	Unsupported(err error) bool
+	// TimedOut reports whether the deadline passed or Interrupt was called.
+	TimedOut(err error) bool
+}
+
+// Admission keeps client accounts within their rates.
+type Admission interface {
+	// Admit takes one operation of an account.
+	Admit(now time.Duration, account fleet.AccountID) bool
+}
+
+// Engine serves the sessions of one instance.
+type Engine struct {
+	Clock     *clock.Clock
+	View      func() *view.View
+	Pool      *pool.Pool
+	Admission Admission
+	Protocol  Protocol
+	Log       *telemetry.Log
+	Metrics   *telemetry.Metrics
+
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	work     map[workKind]*placing.Work
+	stopping atomic.Bool
+}
+
+// workKind separates statements that take different times.
+type workKind struct {
+	database string
+	write    bool
+	commit   bool
+}
+
+// typical returns the estimate for a kind of statement.
+func (e *Engine) typical(k workKind) *placing.Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.work == nil {
+		e.work = map[workKind]*placing.Work{}
+	}
+	w := e.work[k]
+	if w == nil {
+		w = &placing.Work{}
+		e.work[k] = w
+	}
+	return w
+}
+
+const (
+	// openingLimit bounds the wait for a caller's first message; callers give up
+	// after 2 s themselves.
+	openingLimit = 5 * time.Second
+	// catalogWait bounds the wait of a session that is opened before the first
+	// configuration is known; it is below the 2 s after which callers give up.
+	catalogWait = 1500 * time.Millisecond
+	catalogPoll = 20 * time.Millisecond
+)
+
+// Serve runs a session until it ends.
+func (e *Engine) Serve(c Caller) {
+	defer c.Close()
+	database, key, err := c.Opening(time.Now().Add(openingLimit))
+	if err != nil {
+		e.Metrics.Count(`sessions{outcome="no_opening"}`)
+		return
+	}
+	for waited := time.Duration(0); e.View().Catalog == nil && waited < catalogWait; waited += catalogPoll {
+		time.Sleep(catalogPoll)
+	}
+	s := &session{e: e, caller: c, database: database, key: key,
+		values: map[string]string{}, shapes: map[string]shape{}}
+	if code, text := s.authorize(); code != stmt.OK {
+		e.Metrics.Count(`sessions{outcome="` + code.String() + `"}`)
+		e.Log.Info("session: refused", "database", database, "reason", code.String(), "catalog", e.version())
+		if err := c.Refuse(code, text); err != nil {
+			return // the caller has gone
+		}
+		return
+	}
+	if !e.register(s) {
+		if err := c.Refuse(stmt.Busy, "this instance is stopping; connect again"); err != nil {
+			return // the caller has gone
+		}
+		return
+	}
+	defer e.unregister(s)
+	if c.Welcome() != nil {
+		return
+	}
+	e.Metrics.Count(`sessions{outcome="opened"}`)
+	s.run()
+}
+
+func (e *Engine) version() uint64 {
+	if c := e.View().Catalog; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func (e *Engine) register(s *session) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sessions == nil {
+		e.sessions = map[*session]struct{}{}
+	}
+	if e.stopping.Load() {
+		return false
+	}
+	e.sessions[s] = struct{}{}
+	return true
+}
+
+func (e *Engine) unregister(s *session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.sessions, s)
+}
+
+const (
+	// idlePace spreads the ends of idle sessions over the first part of a stop,
+	// so that reconnecting callers do not arrive at once.
+	idlePace = 10 * time.Millisecond
+	// stopPoll is how often Stop looks for sessions that have ended.
+	stopPoll = 20 * time.Millisecond
+)
+
+// Stop ends the sessions: idle ones one after the other, the others when their
+// statement ends, open transactions by half of the time given. It returns when
+// all have ended or ctx does.
+func (e *Engine) Stop(ctx context.Context, within time.Duration) {
+	e.mu.Lock()
+	e.stopping.Store(true)
+	sessions := make([]*session, 0, len(e.sessions))
+	for s := range e.sessions {
+		sessions = append(sessions, s)
+	}
+	e.mu.Unlock()
+	half := time.Now().Add(within / 2)
+	pace := min(idlePace, within/4/time.Duration(len(sessions)+1))
+	for _, s := range sessions {
+		s.stop(half)
+		time.Sleep(pace)
+	}
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		n := len(e.sessions)
+		e.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+}
+
+// Sessions counts the open sessions.
+func (e *Engine) Sessions() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sessions)
+}
+
+// errEnded ends a session without a further word to the caller.
+var errEnded = errors.New("session ended")
+
+// route returns the session's route, and its account, as they are in force now.
+func (s *session) route() (catalog.Route, fleet.AccountID, stmt.Code, string) {
+	v := s.e.View()
+	if v.Catalog == nil {
+		return catalog.Route{}, "", stmt.Busy, "no configuration is known yet; try again in a second"
+	}
+	r, ok := v.Route(s.database)
+	if !ok {
+		return r, "", stmt.UnknownDatabase, "no route has this name; check the database"
+	}
+	account, ok := v.Account(r, s.key)
+	if !ok {
+		return r, "", stmt.BadKey, "the key is unknown or withdrawn; use a key in force"
+	}
+	return r, account, stmt.OK, ""
+}
+
+func (s *session) authorize() (stmt.Code, string) {
+	_, _, code, text := s.route()
+	return code, text
+}
--- /dev/null
+++ b/edge/exchange/exchange.go
@@ -0,0 +1,177 @@
+// Package exchange is the protocol between instances: unary connect calls with
+// JSON bodies. An instance calls each other one periodically, and all of them
+// during a change of primary.
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/rows"
+)
+
+// TableState says how recent an instance's copy of a table is.
+type TableState struct {
+	// AsOf is the store's version up to which the copy is complete.
+	AsOf uint64 `json:"a"`
+	// Digest differs when the rows do.
+	Digest uint64 `json:"d"`
+}
+
+// Table is a whole copy.
+type Table struct {
+	TableState
+	Rows []rows.Row `json:"r"`
+}
+
+// Update is the call made periodically.
+type Update struct {
+	From   fleet.InstanceID            `json:"f"`
+	Tables map[string]TableState       `json:"t"`
+	Demand map[fleet.AccountID]float64 `json:"q,omitempty"`
+}
+
+// UpdateAnswer brings what the caller lacks.
+type UpdateAnswer struct {
+	// Tables are those whose rows are newer here.
+	Tables map[string]Table `json:"t,omitempty"`
+	// ProofAge is how long ago this instance's copy of the fleet's own table
+	// was proved complete, in milliseconds; negative if never.
+	ProofAge int64                       `json:"p"`
+	Demand   map[fleet.AccountID]float64 `json:"q,omitempty"`
+	// Leaders are the records this instance acts on; they may be ahead of its
+	// table when the holder of a change has told it.
+	Leaders []catalog.Leadership `json:"l,omitempty"`
+}
+
+// Confirm asks an instance to act on a record of a group's primary.
+type Confirm struct {
+	Record catalog.Leadership `json:"l"`
+}
+
+// Confirmed says that the instance has stopped using any earlier primary.
+type Confirmed struct {
+	// Version is the version of the record that the instance acts on.
+	Version uint64 `json:"v"`
+}
+
+// Reach asks whether an instance reaches an endpoint.
+type Reach struct {
+	Endpoint fleet.EndpointID `json:"e"`
+	Addr     string           `json:"a"`
+}
+
+// Reached is the answer to Reach.
+type Reached struct {
+	Reachable bool `json:"r"`
+}
+
+// Service answers the calls of other instances.
+type Service interface {
+	Update(ctx context.Context, u *Update) (*UpdateAnswer, error)
+	Confirm(ctx context.Context, c *Confirm) (*Confirmed, error)
+	Reach(ctx context.Context, r *Reach) (*Reached, error)
+}
+
+const (
+	base          = "/vanillahinge.edge.v1.Fleet/"
+	updatePath    = base + "Update"
+	confirmPath   = base + "Confirm"
+	reachPath     = base + "Reach"
+	connectWithin = 300 * time.Millisecond // several round trips between data centres
+	maxMessage    = 8 << 20                // a configuration is at most 64 KB a row, and tables have some hundred rows
+)
+
+// codec encodes plain structures as JSON.
+type codec struct{}
+
+func (codec) Name() string                        { return "json" }
+func (codec) Marshal(v any) ([]byte, error)       { return json.Marshal(v) }
+func (codec) Unmarshal(raw []byte, v any) error   { return json.Unmarshal(raw, v) }
+func (codec) MarshalStable(v any) ([]byte, error) { return json.Marshal(v) }
+func (codec) IsBinary() bool                      { return false }
+
+// Handler serves the protocol.
+func Handler(s Service) http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, updatePath, s.Update)
+	handle(mux, confirmPath, s.Confirm)
+	handle(mux, reachPath, s.Reach)
+	return mux
+}
+
+func handle[Req, Res any](mux *http.ServeMux, path string, f func(context.Context, *Req) (*Res, error)) {
+	mux.Handle(path, connect.NewUnaryHandler(path, func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
+		res, err := f(ctx, r.Msg)
+		if err != nil {
+			return nil, err
+		}
+		return connect.NewResponse(res), nil
+	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage)))
+}
+
+// ErrNotRunning: no process listens at the instance's address.
+var ErrNotRunning = errors.New("exchange: no process listens there")
+
+// Peer calls one other instance.
+type Peer struct {
+	http    *http.Client
+	update  *connect.Client[Update, UpdateAnswer]
+	confirm *connect.Client[Confirm, Confirmed]
+	reach   *connect.Client[Reach, Reached]
+}
+
+// NewPeer returns a client for the instance at addr (host:port).
+func NewPeer(addr string) *Peer {
+	dial := &net.Dialer{Timeout: connectWithin}
+	p := &Peer{http: &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableCompression: true}}}
+	url := "http://" + addr
+	p.update = client[Update, UpdateAnswer](p.http, url+updatePath)
+	p.confirm = client[Confirm, Confirmed](p.http, url+confirmPath)
+	p.reach = client[Reach, Reached](p.http, url+reachPath)
+	return p
+}
+
+func client[Req, Res any](h *http.Client, url string) *connect.Client[Req, Res] {
+	return connect.NewClient[Req, Res](h, url, connect.WithCodec(codec{}),
+		connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage))
+}
+
+// Close drops the connections.
+func (p *Peer) Close() { p.http.CloseIdleConnections() }
+
+func call[Req, Res any](ctx context.Context, c *connect.Client[Req, Res], req *Req) (*Res, error) {
+	res, err := c.CallUnary(ctx, connect.NewRequest(req))
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, fmt.Errorf("%w: %w", ErrNotRunning, err)
+		}
+		return nil, fmt.Errorf("exchange: %w", err)
+	}
+	return res.Msg, nil
+}
+
+// Update exchanges states.
+func (p *Peer) Update(ctx context.Context, u *Update) (*UpdateAnswer, error) {
+	return call(ctx, p.update, u)
+}
+
+// Confirm asks for a confirmation.
+func (p *Peer) Confirm(ctx context.Context, c *Confirm) (*Confirmed, error) {
+	return call(ctx, p.confirm, c)
+}
+
+// Reach asks about an endpoint.
+func (p *Peer) Reach(ctx context.Context, r *Reach) (*Reached, error) {
+	return call(ctx, p.reach, r)
+}
--- /dev/null
+++ b/edge/pool/pool.go
@@ -0,0 +1,650 @@
+// Package pool keeps the connections to endpoints and hands them to sessions.
+// It places each statement by package placing, queues what finds no room, and
+// notices endpoints that stop answering.
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/freshness"
+	"github.com/vanillahinge/vanillahinge/core/placing"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
+	"github.com/vanillahinge/vanillahinge/edge/clock"
+	"github.com/vanillahinge/vanillahinge/edge/telemetry"
+	"github.com/vanillahinge/vanillahinge/edge/view"
+)
+
+const (
+	// openCost is what opening a connection takes of an endpoint's slot, which
+	// placing weighs against a longer queue elsewhere (platform's figure).
+	openCost = 12 * time.Millisecond
+	// reservedConnections of an endpoint's ceiling stay free for changes of
+	// primary.
+	reservedConnections = 2
+	// nearDistance and farDistance are one-way delays assumed until measured.
+	nearDistance = 100 * time.Microsecond
+	farDistance  = 1400 * time.Microsecond
+	// answersDue is how long an endpoint may owe an answer before its address
+	// is tried: above nearly all answers, far below callers' deadlines.
+	answersDue = 300 * time.Millisecond
+	// watchPeriod is how often endpoints are checked for owed answers.
+	watchPeriod = 100 * time.Millisecond
+	// retryDown is how often the address of an unreachable endpoint is tried.
+	retryDown = 250 * time.Millisecond
+	// peekAfter is the idle time after which a connection is checked for an end
+	// that arrived meanwhile.
+	peekAfter = 5 * time.Millisecond
+	// changeWait bounds the wait of a statement while its group changes its
+	// primary, above the time that a change takes with all instances answering.
+	changeWait = 1600 * time.Millisecond
+)
+
+// Wire is an open connection to an endpoint.
+type Wire interface {
+	// Do sends statements in one write and reads their answers. After an error
+	// what was sent may have run.
+	Do(deadline time.Time, answers []stmt.Answer, ss ...stmt.Statement) ([]stmt.Answer, error)
+	// Alive reports whether the far end has neither closed nor sent anything.
+	Alive() bool
+	Close()
+}
+
+// Dialer opens connections. Errors are those of package stmt.
+type Dialer interface {
+	Open(e catalog.Endpoint, account fleet.AccountID) (Wire, stmt.Answer, error)
+	// Reach reports whether the address accepts connections.
+	Reach(addr string) error
+}
+
+// Conn is a connection that is handed to one session at a time.
+type Conn struct {
+	Wire
+	// Values and Names are the session values and the prepared shapes, with
+	// their names, on the connection.
+	Values map[string]string
+	Names  map[string]string
+	// Primary says that the connection was handed out to the group's primary.
+	Primary bool
+
+	server  *server
+	account fleet.AccountID
+	// version is that of the group's record when the connection was handed out.
+	version uint64
+	used    time.Duration
+	// running says that a statement is in flight, since started.
+	running bool
+	started time.Duration
+	stopped atomic.Bool
+}
+
+// Endpoint returns the endpoint's id.
+func (c *Conn) Endpoint() fleet.EndpointID { return c.server.ID }
+
+type server struct {
+	catalog.Endpoint
+	load    *placing.Load
+	limit   int // connections
+	open    int // connections, also those being opened
+	idle    []*Conn
+	leased  map[*Conn]struct{}
+	listed  bool
+	rtt     time.Duration
+	checked time.Duration
+	// checking is set while the address is tried.
+	checking bool
+	down     bool
+	// failing is when attempts to reach the endpoint began to fail; 0 if the
+	// last one succeeded.
+	failing  time.Duration
+	answered time.Duration
+}
+
+func (s *server) distance() time.Duration { return s.rtt / 2 }
+
+type group struct {
+	waiting []*waiter
+	fresh   freshness.Log
+}
+
+type waiter struct {
+	placing.Waiter
+	req   Request
+	given *Conn
+	open  bool // given is a place for a connection that is yet to be opened
+	ready chan struct{}
+}
+
+// Request asks for a connection.
+type Request struct {
+	Group   fleet.GroupID
+	Account fleet.AccountID
+	// Primary asks for the group's primary.
+	Primary bool
+	// Avoid is an endpoint that has just refused or lost the statement.
+	Avoid    fleet.EndpointID
+	Priority int
+	// Latest is the last moment at which starting is of use.
+	Latest time.Duration
+	// Work is the kind of statement.
+	Work *placing.Work
+	// Values are the session's; a connection that has them is preferred.
+	Values map[string]string
+}
+
+// Refusal says why no connection was given; nothing was sent.
+type Refusal struct {
+	Reason string
+	Remedy string
+}
+
+// Error returns the refusal.
+func (r *Refusal) Error() string { return r.Reason + "; " + r.Remedy }
+
+var (
+	errHopeless  = &Refusal{"the endpoints are too busy to answer in time", "try again later"}
+	errWaited    = &Refusal{"no endpoint became free in time", "try again later"}
+	errNoPrimary = &Refusal{"the group has no primary now", "try again in a second"}
+	errNone      = &Refusal{"no endpoint of the group can be reached", "try again in a second"}
+)
+
+// Pool holds the connections of one instance.
+type Pool struct {
+	clock   *clock.Clock
+	dialer  Dialer
+	log     *telemetry.Log
+	metrics *telemetry.Metrics
+	local   fleet.DataCentre
+	// expiry is when the permission to use primaries ends.
+	expiry atomic.Int64
+
+	mu       sync.Mutex
+	view     *view.View
+	servers  map[fleet.EndpointID]*server
+	groups   map[fleet.GroupID]*group
+	inFlight map[fleet.AccountID]int
+}
+
+// New returns a pool without endpoints.
+func New(c *clock.Clock, d Dialer, l *telemetry.Log, m *telemetry.Metrics, local fleet.DataCentre) *Pool {
+	return &Pool{clock: c, dialer: d, log: l, metrics: m, local: local, view: &view.View{},
+		servers: map[fleet.EndpointID]*server{}, groups: map[fleet.GroupID]*group{}, inFlight: map[fleet.AccountID]int{}}
+}
+
+// SetExpiry sets when the permission to use primaries ends.
+func (p *Pool) SetExpiry(at time.Duration) {
+	if at > time.Duration(p.expiry.Swap(int64(at))) {
+		p.mu.Lock()
+		p.dispatch()
+		p.mu.Unlock()
+	}
+}
+
+func (p *Pool) permitted(now time.Duration) bool { return now < time.Duration(p.expiry.Load()) }
+
+// MaySend reports whether a statement may be sent on a connection now. It has
+// to be asked immediately before each send.
+func (p *Pool) MaySend(c *Conn) bool {
+	return !c.Primary || !c.stopped.Load() && p.permitted(p.clock.Now())
+}
+
+// Stopped reports whether the connection's primary was replaced meanwhile.
+func (c *Conn) Stopped() bool { return c.stopped.Load() }
+
+func (p *Pool) group(id fleet.GroupID) *group {
+	g := p.groups[id]
+	if g == nil {
+		g = &group{}
+		p.groups[id] = g
+	}
+	return g
+}
+
+// Update installs a new view.
+func (p *Pool) Update(v *view.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, now := range v.Leaders {
+		if before := p.view.Leaders[id]; before.Primary != now.Primary && before.Version > 0 {
+			p.group(id).fresh.Reset()
+		}
+	}
+	p.view = v
+	for _, s := range p.servers {
+		s.listed = false
+	}
+	for _, es := range v.Endpoints {
+		for _, e := range es {
+			s := p.servers[e.ID]
+			if s == nil {
+				s = &server{load: placing.NewLoad(e.Slots, e.Slots), leased: map[*Conn]struct{}{}, rtt: 2 * farDistance}
+				if e.DataCentre == p.local {
+					s.rtt = 2 * nearDistance
+				}
+				p.servers[e.ID] = s
+			}
+			s.Endpoint, s.listed = e, true
+			s.limit = max(2, (v.Catalog.Groups[e.Group].MaxConnections-reservedConnections)/max(1, v.Members))
+			s.load.SetCeiling(s.limit)
+		}
+	}
+	for id, s := range p.servers {
+		if !s.listed || s.Leaving && v.Leaders[s.Group].Primary != id {
+			p.closeIdle(s)
+		}
+		if !s.listed && s.open == 0 {
+			delete(p.servers, id)
+		}
+	}
+	p.dispatch()
+}
+
+func (p *Pool) closeIdle(s *server) {
+	for _, c := range s.idle {
+		c.Wire.Close()
+		s.open--
+	}
+	s.idle = nil
+}
+
+// Stop ends the use of the primaries that records before version named: after
+// wait, in which open transactions may end by themselves, their connections are
+// closed. The view must have the record of that version before. Stop returns
+// when nothing more can be sent.
+func (p *Pool) Stop(id fleet.GroupID, wait time.Duration, version uint64) {
+	deadline := p.clock.Now() + wait
+	for {
+		p.mu.Lock()
+		var left []*Conn
+		for _, s := range p.servers {
+			if s.Group != id {
+				continue
+			}
+			for c := range s.leased {
+				if c.Primary && c.version < version {
+					left = append(left, c)
+				}
+			}
+		}
+		if len(left) == 0 || p.clock.Now() >= deadline {
+			for _, c := range left {
+				c.stopped.Store(true)
+				if c.Wire != nil {
+					c.Wire.Close()
+				}
+			}
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		time.Sleep(stopPoll)
+	}
+}
+
+// stopPoll is how often Stop looks for open transactions; it adds to the time
+// of a planned change.
+const stopPoll = 10 * time.Millisecond
+
+// leader returns the id of a group's primary if it may be used.
+func (p *Pool) leader(id fleet.GroupID, now time.Duration) (fleet.EndpointID, bool) {
+	l, ok := p.view.Leaders[id]
+	return l.Primary, ok && l.Settled && l.Primary != "" && p.permitted(now)
+}
+
+// choose returns the endpoint for a request and the expected time of the
+// answer, or nil when none has room; any is false when none can serve it.
+func (p *Pool) choose(r *Request, now time.Duration) (best *server, expected time.Duration, any bool) {
+	primary, usable := p.leader(r.Group, now)
+	soonest := time.Duration(1<<62 - 1)
+	for _, e := range p.view.Endpoints[r.Group] {
+		s := p.servers[e.ID]
+		isPrimary := usable && e.ID == primary
+		if s == nil || s.down || r.Primary && !isPrimary || !isPrimary && s.Leaving {
+			continue
+		}
+		any = true
+		at := s.load.Expected(now, r.Work.Typical(), s.distance(), s.Slots)
+		if !p.hasIdle(s, r.Account) {
+			at += openCost + 2*s.distance()
+		}
+		if e.ID == r.Avoid {
+			at += r.Work.Typical() * 4
+		}
+		soonest = min(soonest, at)
+		if !s.load.Room() || !p.hasIdle(s, r.Account) && s.open >= s.limit && len(s.idle) == 0 {
+			continue
+		}
+		if best == nil || at < expected {
+			best, expected = s, at
+		}
+	}
+	if best == nil {
+		expected = soonest
+	}
+	return best, expected, any
+}
+
+func (p *Pool) hasIdle(s *server, account fleet.AccountID) bool {
+	for _, c := range s.idle {
+		if c.account == account {
+			return true
+		}
+	}
+	return false
+}
+
+// take reserves a place at s for a request: an idle connection, or the right to
+// open one, for which another account's idle connection may have to go.
+func (p *Pool) take(s *server, r *Request, now time.Duration) (c *Conn, open bool) {
+	found := -1
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		if s.idle[i].account != r.Account {
+			continue
+		}
+		if found < 0 || sameValues(s.idle[i].Values, r.Values) {
+			found = i
+		}
+		if sameValues(s.idle[i].Values, r.Values) {
+			break
+		}
+	}
+	if found >= 0 {
+		c = s.idle[found]
+		s.idle = slices.Delete(s.idle, found, found+1)
+	} else {
+		if s.open >= s.limit {
+			s.idle[0].Wire.Close()
+			s.idle = slices.Delete(s.idle, 0, 1)
+			s.open--
+		}
+		s.open++
+		c, open = &Conn{server: s, account: r.Account, Values: map[string]string{}, Names: map[string]string{}}, true
+	}
+	primary, usable := p.leader(r.Group, now)
+	c.Primary, c.version = usable && s.ID == primary, p.view.Leaders[r.Group].Version
+	c.stopped.Store(false)
+	s.leased[c] = struct{}{}
+	p.begin(c, now)
+	return c, open
+}
+
+func sameValues(a, b map[string]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, v := range a {
+		if w, ok := b[k]; !ok || w != v {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) begin(c *Conn, now time.Duration) {
+	if !c.running {
+		c.running, c.started = true, now
+		c.server.load.InFlight++
+		p.inFlight[c.account]++
+	}
+}
+
+func (p *Pool) end(c *Conn) {
+	if c.running {
+		c.running = false
+		c.server.load.InFlight--
+		if p.inFlight[c.account]--; p.inFlight[c.account] == 0 {
+			delete(p.inFlight, c.account)
+		}
+	}
+}
+
+// Acquire returns a connection for a statement, which counts as in flight from
+// then on. The error is a *Refusal, stmt.ErrUnreachable, stmt.ErrLost or a
+// *stmt.RefusedError; the statement was not sent in any of these cases.
+func (p *Pool) Acquire(r Request) (*Conn, error) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	g := p.group(r.Group)
+	best, expected, any := p.choose(&r, now)
+	if best != nil && !g.before(r.Priority) {
+		c, open := p.take(best, &r, now)
+		p.mu.Unlock()
+		return p.complete(c, open, r)
+	}
+	latest := r.Latest
+	if !any {
+		l, known := p.view.Leaders[r.Group]
+		switch {
+		case !r.Primary:
+			p.mu.Unlock()
+			return nil, errNone
+		case known && l.Settled && p.permitted(now) && !p.failingRecently(l.Primary, now):
+			p.mu.Unlock()
+			return nil, errNoPrimary
+		}
+		latest = now + changeWait
+	} else if placing.Hopeless(now, latest, expected, g.ahead(r.Priority)+1, p.room(&r, now)) {
+		p.mu.Unlock()
+		return nil, errHopeless
+	}
+	w := &waiter{req: r, ready: make(chan struct{}, 1), Waiter: placing.Waiter{
+		Priority: r.Priority, Held: float64(p.inFlight[r.Account]), Since: now, Latest: latest}}
+	g.waiting = append(g.waiting, w)
+	p.mu.Unlock()
+
+	timer := time.NewTimer(latest - now)
+	defer timer.Stop()
+	select {
+	case <-w.ready:
+	case <-timer.C:
+		p.mu.Lock()
+		if i := slices.Index(g.waiting, w); i >= 0 {
+			g.waiting = slices.Delete(g.waiting, i, i+1)
+			p.mu.Unlock()
+			if !any {
+				return nil, errNoPrimary
+			}
+			return nil, errWaited
+		}
+		p.mu.Unlock()
+		<-w.ready
+	}
+	return p.complete(w.given, w.open, r)
+}
+
+// failingRecently reports whether a change of primary may follow soon.
+func (p *Pool) failingRecently(id fleet.EndpointID, now time.Duration) bool {
+	s := p.servers[id]
+	return s == nil || s.failing > 0 && now < s.failing+changeWait
+}
+
+// before reports whether a waiter with this priority or a more urgent one
+// waits.
+func (g *group) before(priority int) bool { return g.ahead(priority) > 0 }
+
+func (g *group) ahead(priority int) int {
+	n := 0
+	for _, w := range g.waiting {
+		if w.Priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
+// room returns how many statements may be in flight at the endpoints that can
+// serve a request.
+func (p *Pool) room(r *Request, now time.Duration) int {
+	primary, usable := p.leader(r.Group, now)
+	n := 0
+	for _, e := range p.view.Endpoints[r.Group] {
+		if s := p.servers[e.ID]; s != nil && !s.down && (!r.Primary || usable && e.ID == primary) {
+			n += s.load.Limit()
+		}
+	}
+	return n
+}
+
+// dispatch gives waiters what has become free.
+func (p *Pool) dispatch() {
+	now := p.clock.Now()
+	for _, g := range p.groups {
+		if len(g.waiting) == 0 {
+			continue
+		}
+		slices.SortStableFunc(g.waiting, func(a, b *waiter) int {
+			switch {
+			case a.Before(b.Waiter):
+				return -1
+			case b.Before(a.Waiter):
+				return 1
+			}
+			return 0
+		})
+		left := g.waiting[:0]
+		for _, w := range g.waiting {
+			best, _, _ := p.choose(&w.req, now)
+			if best == nil {
+				left = append(left, w)
+				continue
+			}
+			w.given, w.open = p.take(best, &w.req, now)
+			w.ready <- struct{}{}
+		}
+		clear(g.waiting[len(left):])
+		g.waiting = left
+	}
+}
+
+// complete opens the connection if it is a new one.
+func (p *Pool) complete(c *Conn, open bool, r Request) (*Conn, error) {
+	if !open {
+		if p.clock.Now() < c.used+peekAfter || c.Alive() {
+			return c, nil
+		}
+		// The endpoint has closed it; nothing was sent.
+		p.Release(c, false)
+		p.Check(c.Endpoint())
+		return nil, fmt.Errorf("%w: it closed an idle connection", stmt.ErrUnreachable)
+	}
+	start := p.clock.Now()
+	wire, _, err := p.dialer.Open(c.server.Endpoint, c.account)
+	if err != nil {
+		p.metrics.Count("connections_failed")
+		p.opened(c, err)
+		return nil, err
+	}
+	p.metrics.Count("connections_opened")
+	p.metrics.Observe("connection_open_us", p.clock.Now()-start)
+	p.mu.Lock()
+	c.Wire = wire
+	c.server.answer(p.clock.Now())
+	stopped := c.stopped.Load()
+	p.mu.Unlock()
+	if stopped {
+		p.Release(c, false)
+		return nil, fmt.Errorf("%w: the primary was replaced", stmt.ErrUnreachable)
+	}
+	return c, nil
+}
+
+func (s *server) answer(now time.Duration) {
+	s.answered, s.failing, s.down = now, 0, false
+}
+
+// opened accounts for a connection that could not be opened.
+func (p *Pool) opened(c *Conn, err error) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	s := c.server
+	p.end(c)
+	delete(s.leased, c)
+	s.open--
+	var refused *stmt.RefusedError
+	if errors.As(err, &refused) {
+		s.answer(now)
+		s.load.Refused(now)
+	} else if s.failing == 0 {
+		s.failing = now
+	}
+	p.dispatch()
+	p.mu.Unlock()
+	p.log.Warn("pool: opening a connection failed", "endpoint", string(s.ID), "addr", s.Addr, "error", err.Error())
+	if refused == nil {
+		p.Check(s.ID)
+	}
+}
+
+// Start marks a further statement on a connection that a session holds.
+func (p *Pool) Start(c *Conn) {
+	p.mu.Lock()
+	p.begin(c, p.clock.Now())
+	p.mu.Unlock()
+}
+
+// Finish marks the end of a statement. Work is nil when the time that it took
+// says nothing about the endpoint.
+func (p *Pool) Finish(c *Conn, a stmt.Answer, work *placing.Work) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	s := c.server
+	took := now - c.started
+	s.answer(now)
+	switch {
+	case a.Code == stmt.Busy:
+		s.load.Refused(now)
+	case a.Code == stmt.OK && work != nil:
+		s.load.Answered(now, took-2*s.distance(), work.Typical())
+		work.Sample(took - 2*s.distance())
+	}
+	if c.Primary && !c.stopped.Load() {
+		p.group(s.Group).fresh.Observe(c.started, a.Position)
+	}
+	p.end(c)
+	p.dispatch()
+	p.mu.Unlock()
+}
+
+// Release gives a connection back. It is closed unless it may be used again by
+// another session, which needs an idle state and no missing answer.
+func (p *Pool) Release(c *Conn, reuse bool) {
+	p.mu.Lock()
+	s := c.server
+	p.end(c)
+	delete(s.leased, c)
+	if reuse && !c.stopped.Load() && s.listed && !s.down && !(s.Leaving && !c.Primary) {
+		c.used = p.clock.Now()
+		s.idle = append(s.idle, c)
+	} else {
+		s.open--
+		if c.Wire != nil {
+			c.Wire.Close()
+		}
+	}
+	if !s.listed && s.open == 0 && p.servers[s.ID] == s {
+		delete(p.servers, s.ID)
+	}
+	p.dispatch()
+	p.mu.Unlock()
+}
+
+// Required returns the log position that a replica must have for a read that
+// accepts the given age, see freshness.Log.
+func (p *Pool) Required(id fleet.GroupID, age time.Duration) (fleet.Floor, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group(id).fresh.Required(p.clock.Now(), age)
+}
+
+// Term returns the newest term that the group's primary has reported.
+func (p *Pool) Term(id fleet.GroupID) fleet.Term {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group(id).fresh.Term()
+}
--- /dev/null
+++ b/edge/pool/watch.go
@@ -0,0 +1,133 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+)
+
+// Watch notices endpoints that owe answers and tries again to reach those that
+// were unreachable, until ctx ends.
+func (p *Pool) Watch(ctx context.Context) {
+	t := time.NewTicker(watchPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := p.clock.Now()
+		p.mu.Lock()
+		var due []*server
+		for _, s := range p.servers {
+			if s.checking {
+				continue
+			}
+			if s.down && now >= s.checked+retryDown || s.owes(now) {
+				s.checking = true
+				due = append(due, s)
+			}
+		}
+		p.mu.Unlock()
+		for _, s := range due {
+			go p.check(s)
+		}
+	}
+}
+
+// owes reports whether the endpoint owes an answer for so long, with none to
+// any statement meanwhile, that its address should be tried.
+func (s *server) owes(now time.Duration) bool {
+	if now < s.answered+answersDue || now < s.checked+answersDue {
+		return false
+	}
+	for c := range s.leased {
+		if c.running && now >= c.started+answersDue {
+			return true
+		}
+	}
+	return false
+}
+
+// Check tries an endpoint's address soon.
+func (p *Pool) Check(id fleet.EndpointID) {
+	p.mu.Lock()
+	s := p.servers[id]
+	if s == nil || s.checking {
+		p.mu.Unlock()
+		return
+	}
+	s.checking = true
+	p.mu.Unlock()
+	go p.check(s)
+}
+
+// checkAttempts is how often an address must fail in a row before the endpoint
+// counts as unreachable; a single lost packet fails one attempt.
+const checkAttempts = 2
+
+func (p *Pool) check(s *server) {
+	start := p.clock.Now()
+	var err error
+	for range checkAttempts {
+		if err = p.dialer.Reach(s.Addr); err == nil {
+			break
+		}
+	}
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.checking, s.checked = false, now
+	wasDown := s.down
+	if err == nil {
+		s.failing, s.down = 0, false
+		s.rtt = min(s.rtt, now-start)
+		if wasDown {
+			p.log.Info("pool: endpoint reached again", "endpoint", string(s.ID))
+		}
+		p.dispatch()
+		return
+	}
+	if s.answered > start {
+		return // an answer came meanwhile
+	}
+	if s.failing == 0 {
+		s.failing = start
+	}
+	s.down = true
+	if !wasDown {
+		p.log.Warn("pool: endpoint unreachable", "endpoint", string(s.ID), "error", err.Error(),
+			"last_answer_ms", (now - s.answered).Milliseconds(), "in_flight", s.load.InFlight)
+		p.metrics.Count("endpoints_lost")
+		p.closeIdle(s)
+		for c := range s.leased {
+			if c.Wire != nil {
+				c.Wire.Close()
+			}
+		}
+	}
+}
+
+// Failing returns since when attempts to reach an endpoint fail.
+func (p *Pool) Failing(id fleet.EndpointID) (since time.Duration, failing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id]
+	if s == nil || s.failing == 0 {
+		return 0, false
+	}
+	return s.failing, true
+}
+
+// Reachable tries an endpoint for another instance, unless it has answered
+// lately.
+func (p *Pool) Reachable(id fleet.EndpointID, addr string) bool {
+	now := p.clock.Now()
+	p.mu.Lock()
+	s := p.servers[id]
+	recent := s != nil && !s.down && s.failing == 0 && now < s.answered+answersDue && s.answered > 0
+	p.mu.Unlock()
+	return recent || p.dialer.Reach(addr) == nil
+}
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 	"github.com/vanillahinge/vanillahinge/standin/link"
 )
 
@@ -78,7 +78,7 @@
 	var last error
 	// Witnesses follow from the platform's list, so everyone must be listed.
 	for {
-		var list []platform.Listed
+		var list []tablestore.Listed
 		last = httpJSON(ctx, http.MethodGet, "http://"+f.Platform.Service+"/v1/instances", nil, &list)
 		if last == nil && len(list) >= len(f.Instances) {
 			break
--- a/standin/table/table.go
+++ b/standin/table/table.go
@@ -20,7 +20,7 @@
 	"time"
 
 	"github.com/vanillahinge/vanillahinge/core/fleet"
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // maxBody bounds the body of a request.
@@ -59,7 +59,7 @@
 // listing is the list of instances from one moment on.
 type listing struct {
 	at   time.Time
-	list []platform.Listed
+	list []tablestore.Listed
 }
 
 // Service is the running service.
@@ -75,9 +75,9 @@
 	mu      sync.Mutex
 	faults  Faults
 	changed chan struct{}
-	rows    map[string]platform.Row
+	rows    map[string]tablestore.Row
 	objects map[string][]byte
-	members map[fleet.InstanceID]platform.Listed
+	members map[fleet.InstanceID]tablestore.Listed
 	beats   map[fleet.InstanceID]time.Time
 	history []listing
 	stats   Stats
@@ -96,8 +96,8 @@
 	}
 	s := &Service{
 		cfg: cfg, faults: cfg.Faults, changed: make(chan struct{}),
-		rows: map[string]platform.Row{}, objects: map[string][]byte{},
-		members: map[fleet.InstanceID]platform.Listed{}, beats: map[fleet.InstanceID]time.Time{},
+		rows: map[string]tablestore.Row{}, objects: map[string][]byte{},
+		members: map[fleet.InstanceID]tablestore.Listed{}, beats: map[fleet.InstanceID]time.Time{},
 	}
 	var err error
 	if s.api, err = net.Listen("tcp", cfg.Listen); err != nil {
@@ -244,7 +244,7 @@
 }
 
 func (s *Service) putRow(w http.ResponseWriter, r *http.Request) {
-	var p platform.PutRequest
+	var p tablestore.PutRequest
 	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -258,7 +258,7 @@
 		http.Error(w, fmt.Sprintf("the row has version %d", old.Version), http.StatusConflict)
 		return
 	}
-	row := platform.Row{Key: key, Version: old.Version + 1, Value: p.Value}
+	row := tablestore.Row{Key: key, Version: old.Version + 1, Value: p.Value}
 	s.rows[key] = row
 	s.mu.Unlock()
 	s.answerPut(w, row)
@@ -266,7 +266,7 @@
 
 func (s *Service) listRows(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
-	rows := []platform.Row{}
+	rows := []tablestore.Row{}
 	s.mu.Lock()
 	s.stats.Reads++
 	for k, row := range s.rows {
@@ -313,7 +313,7 @@
 }
 
 func (s *Service) register(w http.ResponseWriter, r *http.Request) {
-	var l platform.Listed
+	var l tablestore.Listed
 	if err := json.NewDecoder(r.Body).Decode(&l); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -335,7 +335,7 @@
 
 // remember appends the current list to the history; needs s.mu.
 func (s *Service) remember() {
-	list := make([]platform.Listed, 0, len(s.members))
+	list := make([]tablestore.Listed, 0, len(s.members))
 	for _, m := range s.members {
 		list = append(list, m)
 	}
@@ -351,7 +351,7 @@
 	s.mu.Lock()
 	s.stats.Reads++
 	at := time.Now().Add(-s.faults.ListLag)
-	list := []platform.Listed{}
+	list := []tablestore.Listed{}
 	for _, h := range s.history {
 		if !h.at.After(at) {
 			list = h.list
--- a/standin/table/table_test.go
+++ b/standin/table/table_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/vanillahinge/vanillahinge/platform"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 func start(t *testing.T, cfg Config) *Service {
@@ -43,7 +43,7 @@
 }
 
 func put(t *testing.T, s *Service, key string, ifVersion uint64, v string) int {
-	return call(t, s, "i1", http.MethodPut, "/v1/table/"+key, platform.PutRequest{IfVersion: ifVersion, Value: []byte(v)}, nil)
+	return call(t, s, "i1", http.MethodPut, "/v1/table/"+key, tablestore.PutRequest{IfVersion: ifVersion, Value: []byte(v)}, nil)
 }
 
 // Two writers of one version must not both succeed.
@@ -53,11 +53,11 @@
 	assert.Equal(t, put(t, s, "bundle/current", 0, "b"), 409)
 	assert.Equal(t, put(t, s, "bundle/current", 1, "c"), 200)
 	assert.Equal(t, put(t, s, "group/g1", 0, "d"), 200)
-	var row platform.Row
+	var row tablestore.Row
 	assert.Equal(t, call(t, s, "i1", http.MethodGet, "/v1/table/bundle/current", nil, &row), 200)
-	assert.DeepEqual(t, row, platform.Row{Key: "bundle/current", Version: 2, Value: []byte("c")})
+	assert.DeepEqual(t, row, tablestore.Row{Key: "bundle/current", Version: 2, Value: []byte("c")})
 	assert.Equal(t, call(t, s, "i1", http.MethodGet, "/v1/table/none", nil, nil), 404)
-	var rows []platform.Row
+	var rows []tablestore.Row
 	assert.Equal(t, call(t, s, "i1", http.MethodGet, "/v1/table?prefix=group/", nil, &rows), 200)
 	assert.Equal(t, len(rows), 1)
 	assert.Equal(t, call(t, s, "i1", http.MethodPut, "/v1/objects/bundles/1", "x", nil), 200)
@@ -69,7 +69,7 @@
 func TestLostAnswer(t *testing.T) {
 	s := start(t, Config{Faults: Faults{LoseAnswers: 1}})
 	assert.Equal(t, put(t, s, "slots", 0, "a"), 0)
-	var row platform.Row
+	var row tablestore.Row
 	assert.Equal(t, call(t, s, "i1", http.MethodGet, "/v1/table/slots", nil, &row), 200)
 	assert.Equal(t, row.Version, uint64(1))
 	assert.Equal(t, put(t, s, "slots", 1, "b"), 200)
@@ -91,13 +91,13 @@
 // The list must lag and drop instances without a heartbeat.
 func TestInstanceList(t *testing.T) {
 	s := start(t, Config{Expiry: 200 * time.Millisecond})
-	l := platform.Listed{ID: "i1", DataCentre: "d1", PeerAddr: "127.0.0.1:1"}
+	l := tablestore.Listed{ID: "i1", DataCentre: "d1", PeerAddr: "127.0.0.1:1"}
 	assert.Equal(t, call(t, s, "i1", http.MethodPut, "/v1/instances/i1", l, nil), 200)
-	list := func() (out []platform.Listed) {
+	list := func() (out []tablestore.Listed) {
 		assert.Equal(t, call(t, s, "i1", http.MethodGet, "/v1/instances", nil, &out), 200)
 		return out
 	}
-	assert.DeepEqual(t, list(), []platform.Listed{l})
+	assert.DeepEqual(t, list(), []tablestore.Listed{l})
 	s.SetFaults(func(f *Faults) { f.ListLag = time.Hour })
 	assert.Equal(t, len(list()), 0)
 	s.SetFaults(func(f *Faults) { f.ListLag = 0 })
--- a/platform/client.go
+++ b/tablestore/client.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"bytes"
@@ -63,7 +63,7 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, fmt.Errorf("platform: bad request %s %s: %w", method, path, err)
+		return nil, fmt.Errorf("tablestore: bad request %s %s: %w", method, path, err)
 	}
 	// The transport must not repeat a put whose answer was lost by itself.
 	req.GetBody = nil
@@ -83,7 +83,7 @@
 	switch {
 	case res.StatusCode == http.StatusOK || res.StatusCode == http.StatusNoContent:
 		if int64(len(data)) > limit {
-			return nil, fmt.Errorf("platform: answer to %s %s is larger than %d bytes", method, path, limit)
+			return nil, fmt.Errorf("tablestore: answer to %s %s is larger than %d bytes", method, path, limit)
 		}
 		return data, nil
 	case res.StatusCode == http.StatusNotFound:
@@ -93,7 +93,7 @@
 	case res.StatusCode >= 500 || res.StatusCode == http.StatusTooManyRequests:
 		return nil, fmt.Errorf("%w: %s %s: status %d", ErrUnavailable, method, path, res.StatusCode)
 	default:
-		return nil, fmt.Errorf("platform: %s %s: status %d; check that the platform address is right", method, path, res.StatusCode)
+		return nil, fmt.Errorf("tablestore: %s %s: status %d; check that the platform address is right", method, path, res.StatusCode)
 	}
 }
 
@@ -103,7 +103,7 @@
 	if in != nil {
 		var err error
 		if body, err = json.Marshal(in); err != nil {
-			return fmt.Errorf("platform: encode: %w", err)
+			return fmt.Errorf("tablestore: encode: %w", err)
 		}
 	}
 	data, err := c.do(ctx, method, path, body, maxAnswer)
--- a/platform/client_test.go
+++ b/tablestore/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/tablestore/tablestore.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the platform's service: a table with
+// Package tablestore is the client of the platform's service: a table with
 // conditional puts, an object store and the lagging list of instances.
 //
 // HTTP interface of the service (JSON):
@@ -12,7 +12,7 @@
 //	PUT  /v1/instances/{id}       body Listed; registers or updates, heartbeat
 //
 // Each request carries the header X-Instance with the caller's instance id.
-package platform
+package tablestore
 
 import (
 	"context"
@@ -48,11 +48,11 @@
 // Errors of the platform's service.
 var (
 	// ErrConflict: the row's version differs; read it again.
-	ErrConflict = errors.New("platform: row changed; read it again")
+	ErrConflict = errors.New("tablestore: row changed; read it again")
 	// ErrNotFound: no such row or object.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("tablestore: not found")
 	// ErrUnavailable: no answer; a put may have taken effect, so read back.
-	ErrUnavailable = errors.New("platform: no answer; a put may have taken effect, so read it back")
+	ErrUnavailable = errors.New("tablestore: no answer; a put may have taken effect, so read it back")
 )
 
 // Table is the transactional table service.
