--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,12 +37,12 @@
 	"github.com/vanillahinge/vanillahinge/daemon/ops"
 	"github.com/vanillahinge/vanillahinge/peer"
 	peerv1 "github.com/vanillahinge/vanillahinge/peer/v1"
-	"github.com/vanillahinge/vanillahinge/tablestore"
 	"github.com/vanillahinge/vanillahinge/proxy/auth"
 	"github.com/vanillahinge/vanillahinge/proxy/front"
 	"github.com/vanillahinge/vanillahinge/proxy/pool"
 	"github.com/vanillahinge/vanillahinge/report/burn"
 	"github.com/vanillahinge/vanillahinge/report/decision"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // stopTimeout bounds the stop of the listeners, which follows the drain.
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -33,8 +33,8 @@
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/daemon/control"
 	"github.com/vanillahinge/vanillahinge/daemon/logging"
-	"github.com/vanillahinge/vanillahinge/tablestore"
 	"github.com/vanillahinge/vanillahinge/report/decision"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // Control is the part of the control goroutine that operators use.
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -14,8 +14,8 @@
 	"strings"
 	"time"
 
-	"github.com/vanillahinge/vanillahinge/tablestore"
 	"github.com/vanillahinge/vanillahinge/standin/link"
+	"github.com/vanillahinge/vanillahinge/tablestore"
 )
 
 // Experiment is one scenario on a prepared fleet whose processes run.
