--- a/core/share/share.go
+++ b/core/share/share.go
@@ -1,12 +1,14 @@
 // Package share keeps each client account within its rate and burst over all
-// instances. Every instance admits a fraction of the account's rate.
+// instances.
 //
-// Fractions follow the demand that instances report to each other. An instance
-// that hears from no other uses 1/n of the rate, and the others set 1/n aside
-// for an instance that they do not hear, so the sum stays at or below the rate
-// once reports have been exchanged. While demand moves, fractions computed from
-// reports of different age may overlap for one exchange interval; the burst is
-// divided by the same fractions, which bounds the excess.
+// Each account has a home: the first running instance by rendezvous hash. The
+// home keeps the account's only bucket; the other instances ask it for tokens
+// when an operation needs one, so that the whole burst serves wherever the
+// operations arrive. An instance that does not reach the home admits 1/n of the
+// rate by itself, and a home sets 1/n aside for every instance that it does not
+// hear, so that the sum stays within the rate. A process starts with empty
+// buckets, since a predecessor may have spent the burst, unless the whole fleet
+// starts for the first time.
 package share
 
 import (
@@ -18,152 +20,261 @@
 )
 
 const (
-	// demandWindow is the time constant of the measured demand: long against
-	// the gaps between an account's operations, short against a flood.
+	// demandWindow is the time constant of the measured demand.
 	demandWindow = time.Second
-	// minWeight is the demand, in operations per second, that an instance is
-	// credited with at least, so that an account's first operations there are
-	// admitted.
-	minWeight = 2.0
-	// restartFill is the part of the burst that a process starts with when the
-	// fleet was running before: its predecessor may have spent the rest.
-	restartFill = 0.25
+	// ahead is for how long an instance asks for tokens in advance, so that a
+	// busy account needs a few calls a second.
+	ahead = 250 * time.Millisecond
+	// tokenLife is how long a token may be spent after it was asked for.
+	tokenLife = 2 * time.Second
+	// minDry is the least time for which an instance refuses by itself after the
+	// home had no token, about the time of a call between data centres.
+	minDry = 10 * time.Millisecond
 )
 
-// Report is the demand that an instance has reported.
-type Report struct {
-	// Heard is when the call that brought the report began.
-	Heard  time.Duration
-	Demand map[fleet.AccountID]float64
-	// NotRunning means that no process runs there.
-	NotRunning bool
-}
+// Place is where an account's tokens come from.
+type Place uint8
+
+// The places.
+const (
+	// Here: this instance is the home.
+	Here Place = iota
+	// Remote: another instance is.
+	Remote
+	// CutOff: the home is not reached.
+	CutOff
+)
+
+// Decision is the answer to an operation.
+type Decision uint8
+
+// The decisions.
+const (
+	Refused Decision = iota
+	Admitted
+	// Ask: the home has to be asked for a token.
+	Ask
+)
 
-// Limiter admits this instance's part of each account's rate.
+// Limiter decides on the operations that arrive at one instance, and on the
+// tokens of the accounts whose home it is.
 type Limiter struct {
-	// firstStart is true when the whole fleet starts for the first time, so
-	// buckets start full.
 	firstStart bool
-	members    int
-	accounts   map[fleet.AccountID]*bucket
+	accounts   map[fleet.AccountID]*account
 }
 
-type bucket struct {
-	limits   catalog.Account
+type account struct {
+	limits catalog.Account
+	place  Place
+	// fraction of the rate that fills the bucket here: what the home may give
+	// out, or the part of an instance that is cut off.
 	fraction float64
 	tokens   float64
 	filled   time.Duration
+	// wallet holds tokens from the home until spendBy.
+	wallet  float64
+	spendBy time.Duration
+	// dry is until when the home is known to have no token.
+	dry      time.Duration
 	demand   float64
 	measured time.Duration
 }
 
 // New returns a limiter without accounts.
 func New(firstStart bool) *Limiter {
-	return &Limiter{firstStart: firstStart, members: 1, accounts: map[fleet.AccountID]*bucket{}}
+	return &Limiter{firstStart: firstStart, accounts: map[fleet.AccountID]*account{}}
 }
 
 // SetAccounts installs the limits in force.
-func (l *Limiter) SetAccounts(now time.Duration, accounts map[fleet.AccountID]catalog.Account) {
+func (l *Limiter) SetAccounts(now time.Duration, limits map[fleet.AccountID]catalog.Account) {
 	for id := range l.accounts {
-		if _, ok := accounts[id]; !ok {
+		if _, ok := limits[id]; !ok {
 			delete(l.accounts, id)
 		}
 	}
-	for id, a := range accounts {
+	for id, a := range limits {
 		b := l.accounts[id]
 		if b == nil {
-			b = &bucket{fraction: 1 / float64(l.members), filled: now, measured: now}
-			b.tokens = a.Burst * b.fraction
-			if !l.firstStart {
-				b.tokens *= restartFill
+			b = &account{fraction: 1, filled: now, measured: now}
+			if l.firstStart {
+				b.tokens = a.Burst
 			}
 			l.accounts[id] = b
 		}
 		b.fill(now)
 		b.limits = a
 		b.tokens = math.Min(b.tokens, b.capacity())
+		b.wallet = math.Min(b.wallet, b.limits.Rate*ahead.Seconds())
+		b.dry = 0
+	}
+}
+
+// SetPlace says where an account's tokens come from and which fraction of the
+// rate this instance gives out by itself. A bucket that is newly used starts
+// empty.
+func (l *Limiter) SetPlace(now time.Duration, id fleet.AccountID, p Place, fraction float64) {
+	b := l.accounts[id]
+	if b == nil {
+		return
+	}
+	b.fill(now)
+	if p != b.place && !(l.firstStart && b.measured == b.filled && b.demand == 0) {
+		b.tokens = 0
 	}
+	b.place, b.fraction = p, fraction
+	b.tokens = math.Min(b.tokens, b.capacity())
 }
 
-func (b *bucket) capacity() float64 { return math.Max(1, b.limits.Burst*b.fraction) }
+func (b *account) capacity() float64 { return math.Max(1, b.limits.Burst*b.fraction) }
 
-func (b *bucket) fill(now time.Duration) {
+func (b *account) fill(now time.Duration) {
 	if now > b.filled {
 		b.tokens = math.Min(b.capacity(), b.tokens+b.limits.Rate*b.fraction*(now-b.filled).Seconds())
 		b.filled = now
 	}
 }
 
-func (b *bucket) decay(now time.Duration) {
+func (b *account) decay(now time.Duration) {
 	if now > b.measured {
 		b.demand *= math.Exp(-(now - b.measured).Seconds() / demandWindow.Seconds())
 		b.measured = now
 	}
 }
 
-// Admit takes one operation from the account's bucket. It returns false when
-// the account is over this instance's part of its rate. Accounts without
-// limits are admitted.
-func (l *Limiter) Admit(now time.Duration, id fleet.AccountID) bool {
+// Admit decides on an operation. Accounts without limits are admitted.
+func (l *Limiter) Admit(now time.Duration, id fleet.AccountID) Decision {
 	b := l.accounts[id]
 	if b == nil {
-		return true
+		return Admitted
 	}
-	b.fill(now)
 	b.decay(now)
 	b.demand += 1 / demandWindow.Seconds()
+	if now > b.spendBy {
+		b.wallet = 0
+	}
+	switch {
+	case b.wallet >= 1:
+		b.wallet--
+		return Admitted
+	case b.place != Remote:
+		return b.take(now)
+	case now < b.dry:
+		return Refused
+	}
+	return Ask
+}
+
+func (b *account) take(now time.Duration) Decision {
+	b.fill(now)
 	if b.tokens < 1 {
-		return false
+		return Refused
 	}
 	b.tokens--
-	return true
+	return Admitted
 }
 
-// Demand returns the operations per second asked for by each account, admitted
-// or not, without the accounts that asked for nothing lately.
-func (l *Limiter) Demand(now time.Duration) map[fleet.AccountID]float64 {
-	d := make(map[fleet.AccountID]float64, len(l.accounts))
-	for id, b := range l.accounts {
-		b.decay(now)
-		if b.demand >= 0.1 {
-			d[id] = math.Round(b.demand*10) / 10
-		}
+// Want returns how many tokens to ask the home for when waiting operations need
+// one each.
+func (l *Limiter) Want(now time.Duration, id fleet.AccountID, waiting int) int {
+	b := l.accounts[id]
+	if b == nil {
+		return waiting
+	}
+	b.decay(now)
+	return waiting + int(b.demand*ahead.Seconds())
+}
+
+// Grant gives out tokens as home. It returns how many, and after which time
+// there will be one if there are fewer than wanted.
+func (l *Limiter) Grant(now time.Duration, id fleet.AccountID, want int) (granted int, retry time.Duration) {
+	b := l.accounts[id]
+	if b == nil {
+		return want, 0
 	}
-	return d
-}
-
-// Rebalance computes the fractions from the reports of the other members.
-// Reports older than freshFor do not count.
-func (l *Limiter) Rebalance(now, freshFor time.Duration, others []Report) {
-	l.members = len(others) + 1
-	equal := 1 / float64(l.members)
-	reserved := 0.0
-	var heard []Report
-	running := 1
-	for _, r := range others {
-		switch {
-		case r.NotRunning:
-		case r.Heard > 0 && now < r.Heard+freshFor:
-			heard = append(heard, r)
-			running++
-		default:
-			reserved += equal
-			running++
+	b.fill(now)
+	granted = max(0, min(want, int(b.tokens)))
+	b.tokens -= float64(granted)
+	if granted < want {
+		if rate := b.limits.Rate * b.fraction; rate > 0 {
+			retry = time.Duration((1 - b.tokens) / rate * float64(time.Second))
+		} else {
+			retry = time.Second
 		}
 	}
-	for id, b := range l.accounts {
-		b.fill(now)
-		b.decay(now)
-		f := equal
-		if len(heard) > 0 || running == 1 {
-			own := math.Max(b.demand, minWeight)
-			total := own
-			for _, r := range heard {
-				total += math.Max(r.Demand[id], minWeight)
-			}
-			f = (1 - reserved) * own / total
+	return granted, max(0, retry)
+}
+
+// Granted records the home's answer to a call begun at asked, and returns how
+// many of the waiting operations are admitted.
+func (l *Limiter) Granted(asked, now time.Duration, id fleet.AccountID, granted, waiting int, retry time.Duration) int {
+	b := l.accounts[id]
+	admitted := min(granted, waiting)
+	if b == nil {
+		return admitted
+	}
+	b.wallet += float64(granted - admitted)
+	b.spendBy = asked + tokenLife
+	if granted < waiting {
+		b.dry = now + max(minDry, retry)
+	}
+	return admitted
+}
+
+// Alone decides on an operation whose home did not answer.
+func (l *Limiter) Alone(now time.Duration, id fleet.AccountID, fraction float64) bool {
+	b := l.accounts[id]
+	if b == nil {
+		return true
+	}
+	l.SetPlace(now, id, CutOff, fraction)
+	return b.take(now) == Admitted
+}
+
+// Accounts returns the accounts that have limits.
+func (l *Limiter) Accounts() []fleet.AccountID {
+	ids := make([]fleet.AccountID, 0, len(l.accounts))
+	for id := range l.accounts {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Member is what an instance knows of another.
+type Member struct {
+	ID fleet.InstanceID
+	// Running is false when no process listens there.
+	Running bool
+	// Heard is true when calls to it succeed.
+	Heard bool
+}
+
+// Home returns where an account's tokens come from and which fraction of the
+// rate this instance may give out by itself. Members includes this instance,
+// with Running and Heard set.
+func Home(self fleet.InstanceID, account fleet.AccountID, members []Member) (home fleet.InstanceID, p Place, fraction float64) {
+	ids := make([]fleet.InstanceID, 0, len(members))
+	silent := 0
+	heard := map[fleet.InstanceID]bool{}
+	for _, m := range members {
+		if !m.Running {
+			continue
 		}
-		b.fraction = f
-		b.tokens = math.Min(b.tokens, b.capacity())
+		ids = append(ids, m.ID)
+		heard[m.ID] = m.Heard
+		if !m.Heard {
+			silent++
+		}
+	}
+	if len(ids) == 0 {
+		return self, Here, 1
+	}
+	home = fleet.Rank("account/"+string(account), ids)[0]
+	part := 1 / float64(len(ids))
+	switch {
+	case home == self:
+		return home, Here, 1 - float64(silent)*part
+	case !heard[home]:
+		return home, CutOff, part
 	}
+	return home, Remote, part
 }
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -107,7 +107,6 @@
 	catalog.Member
 	client     *exchange.Peer
 	heard      time.Duration
-	demand     map[fleet.AccountID]float64
 	notRunning bool
 }
 
@@ -458,7 +457,7 @@
 func (c *Control) judge(ctx context.Context) {
 	now := c.Clock.Now()
 	c.forget(now)
-	c.Limiter.Rebalance(now, c.reports())
+	c.Limiter.place(now, c.Self.ID, c.running(now), c.peers)
 	if c.catalog == nil || !c.tables[c.Names.Own].loaded {
 		return
 	}
@@ -504,11 +503,15 @@
 	return s, c.last[record.Primary].Addr
 }
 
-// reports returns what the other members said of their demand.
-func (c *Control) reports() []share.Report {
-	out := make([]share.Report, 0, len(c.peers))
+// running returns what is known of the members.
+func (c *Control) running(now time.Duration) []share.Member {
+	out := []share.Member{{ID: c.Self.ID, Running: true, Heard: true}}
 	for _, p := range c.peers {
-		out = append(out, share.Report{Heard: p.heard, Demand: p.demand, NotRunning: p.notRunning})
+		out = append(out, share.Member{ID: p.ID, Running: !p.notRunning, Heard: p.heard > 0 && now < p.heard+heardFor})
 	}
 	return out
 }
+
+// heardFor is how long an answer shows that an instance is reached; one call
+// may be missed.
+const heardFor = 2*exchangePeriod + exchangeTimeout
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -186,7 +186,7 @@
 			if at, ok := c.lease.Proof(); !ok || now > at+storeLate {
 				period = exchangeHurry
 			}
-			u = exchange.Update{From: c.Self.ID, Tables: c.tableStates(), Demand: c.Limiter.Demand(now)}
+			u = exchange.Update{From: c.Self.ID, Tables: c.tableStates()}
 			for _, p := range c.peers {
 				calls = append(calls, p)
 			}
@@ -229,7 +229,7 @@
 		return
 	}
 	_ = c.do(ctx, func() {
-		p.heard, p.demand, p.notRunning = start, a.Demand, false
+		p.heard, p.notRunning = start, false
 		for name, t := range a.Tables {
 			if own, ok := c.tables[name]; ok && t.AsOf > own.asOf {
 				c.replace(name, t.Rows, t.AsOf)
@@ -256,7 +256,6 @@
 			// Rounded up, so that the proof does not become younger on the way.
 			a.ProofAge = (now - at).Milliseconds() + 1
 		}
-		a.Demand = c.Limiter.Demand(now)
 		for name, t := range c.tables {
 			if theirs := u.Tables[name]; t.loaded && t.asOf > theirs.AsOf && t.digest != theirs.Digest {
 				if a.Tables == nil {
@@ -274,3 +273,9 @@
 	})
 	return a, err
 }
+
+// Grant gives out an account's tokens.
+func (c *Control) Grant(_ context.Context, g *exchange.Grant) (*exchange.Granted, error) {
+	n, retry := c.Limiter.Grant(g.Account, g.Want)
+	return &exchange.Granted{Tokens: n, RetryMS: retry.Milliseconds()}, nil
+}
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -36,9 +36,8 @@
 
 // Update is the call made periodically.
 type Update struct {
-	From   fleet.InstanceID            `json:"f"`
-	Tables map[string]TableState       `json:"t"`
-	Demand map[fleet.AccountID]float64 `json:"q,omitempty"`
+	From   fleet.InstanceID      `json:"f"`
+	Tables map[string]TableState `json:"t"`
 }
 
 // UpdateAnswer brings what the caller lacks.
@@ -47,8 +46,7 @@
 	Tables map[string]Table `json:"t,omitempty"`
 	// ProofAge is how long ago this instance's copy of the fleet's own table
 	// was proved complete, in milliseconds; negative if never.
-	ProofAge int64                       `json:"p"`
-	Demand   map[fleet.AccountID]float64 `json:"q,omitempty"`
+	ProofAge int64 `json:"p"`
 	// Leaders are the records this instance acts on; they may be ahead of its
 	// table when the holder of a change has told it.
 	Leaders []catalog.Leadership `json:"l,omitempty"`
@@ -76,11 +74,25 @@
 	Reachable bool `json:"r"`
 }
 
+// Grant asks an account's home for tokens.
+type Grant struct {
+	Account fleet.AccountID `json:"a"`
+	Want    int             `json:"w"`
+}
+
+// Granted are the tokens given, and the time after which there will be one if
+// they are fewer than wanted.
+type Granted struct {
+	Tokens  int   `json:"t"`
+	RetryMS int64 `json:"r,omitempty"`
+}
+
 // Service answers the calls of other instances.
 type Service interface {
 	Update(ctx context.Context, u *Update) (*UpdateAnswer, error)
 	Confirm(ctx context.Context, c *Confirm) (*Confirmed, error)
 	Reach(ctx context.Context, r *Reach) (*Reached, error)
+	Grant(ctx context.Context, g *Grant) (*Granted, error)
 }
 
 const (
@@ -88,7 +100,9 @@
 	updatePath    = base + "Update"
 	confirmPath   = base + "Confirm"
 	reachPath     = base + "Reach"
+	grantPath     = base + "Grant"
 	connectWithin = 300 * time.Millisecond // several round trips between data centres
+	idlePerPeer   = 4                      // calls that run at the same time, mostly
 	maxMessage    = 8 << 20                // a configuration is at most 64 KB a row, and tables have some hundred rows
 )
 
@@ -107,6 +121,7 @@
 	handle(mux, updatePath, s.Update)
 	handle(mux, confirmPath, s.Confirm)
 	handle(mux, reachPath, s.Reach)
+	handle(mux, grantPath, s.Grant)
 	return mux
 }
 
@@ -129,16 +144,19 @@
 	update  *connect.Client[Update, UpdateAnswer]
 	confirm *connect.Client[Confirm, Confirmed]
 	reach   *connect.Client[Reach, Reached]
+	grant   *connect.Client[Grant, Granted]
 }
 
 // NewPeer returns a client for the instance at addr (host:port).
 func NewPeer(addr string) *Peer {
 	dial := &net.Dialer{Timeout: connectWithin}
-	p := &Peer{http: &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableCompression: true}}}
+	p := &Peer{http: &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: idlePerPeer}}}
 	url := "http://" + addr
 	p.update = client[Update, UpdateAnswer](p.http, url+updatePath)
 	p.confirm = client[Confirm, Confirmed](p.http, url+confirmPath)
 	p.reach = client[Reach, Reached](p.http, url+reachPath)
+	p.grant = client[Grant, Granted](p.http, url+grantPath)
 	return p
 }
 
@@ -175,3 +193,8 @@
 func (p *Peer) Reach(ctx context.Context, r *Reach) (*Reached, error) {
 	return call(ctx, p.reach, r)
 }
+
+// Grant asks for tokens.
+func (p *Peer) Grant(ctx context.Context, g *Grant) (*Granted, error) {
+	return call(ctx, p.grant, g)
+}
