--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -18,6 +18,7 @@
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/lease"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
 )
 
 const (
@@ -73,15 +74,20 @@
 type Candidate struct {
 	Endpoint fleet.EndpointID
 	Received fleet.Floor
-	Leaving  bool
+	// Term is the newest term that the endpoint knows.
+	Term    fleet.Term
+	Leaving bool
+	// Doubtful endpoints were the primary before the last one, or still take
+	// themselves for one: they may be cut off from the rest.
+	Doubtful bool
 	// Near prefers an endpoint in the data centre of the old primary's callers
 	// among equals.
 	Near bool
 }
 
 // Choose returns the candidate to promote: the most advanced one, so that as
-// few commits as possible are lost, and a leaving one only if it is the only
-// one. It returns false without candidates.
+// few commits as possible are lost, and a leaving or doubtful one only if there
+// is no other. It returns false without candidates.
 func Choose(candidates []Candidate) (Candidate, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, false
@@ -89,6 +95,7 @@
 	return slices.MaxFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(
 			boolCompare(!a.Leaving, !b.Leaving),
+			boolCompare(!a.Doubtful, !b.Doubtful),
 			cmp.Compare(a.Received.Term, b.Received.Term),
 			cmp.Compare(a.Received.Position, b.Received.Position),
 			boolCompare(a.Near, b.Near),
@@ -97,6 +104,20 @@
 	}), true
 }
 
+// Leads reports whether an endpoint that was promoted has taken over: it is a
+// primary at a term above all that were known before the promotion. A former
+// primary that was cut off takes itself for one at its old term until then.
+func Leads(s stmt.EndpointState, before fleet.Term) bool { return s.Primary && s.Term > before }
+
+// Newest returns the newest term that the candidates know, or known if that is
+// higher.
+func Newest(known fleet.Term, candidates []Candidate) fleet.Term {
+	for _, c := range candidates {
+		known = max(known, c.Term)
+	}
+	return known
+}
+
 func boolCompare(a, b bool) int {
 	switch {
 	case a == b:
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -312,6 +313,7 @@
 	}
 	floor := ch.retire(ctx, former)
 	candidates := ch.positions(ctx, replicas, ask, floor)
+	before := takeover.Newest(c.Pool.Term(ch.old.Group), candidates)
 	for len(candidates) > 0 && ch.holds(ctx) {
 		best, _ := takeover.Choose(candidates)
 		call, cancel := context.WithTimeout(ctx, promoteTimeout)
@@ -323,7 +325,7 @@
 			"former_had", uint64(floor.Position), "error", errorText(err))
 		switch {
 		case err == nil:
-			if ch.leads(ctx, replicas, best.Endpoint) {
+			if ch.leads(ctx, replicas, best.Endpoint, before) {
 				ch.record.Primary, ch.record.Settled = best.Endpoint, true
 				return true
 			}
@@ -400,8 +402,8 @@
 				s, err := c.command(e, ask)
 				if err == nil {
 					mu.Lock()
-					found[e.ID] = takeover.Candidate{Endpoint: e.ID, Received: s.Received, Leaving: e.Leaving,
-						Near: e.DataCentre == c.Self.DataCentre}
+					found[e.ID] = takeover.Candidate{Endpoint: e.ID, Received: s.Received, Term: max(s.Term, s.Received.Term),
+						Leaving: e.Leaving, Doubtful: s.Primary || e.ID == ch.old.Former, Near: e.DataCentre == c.Self.DataCentre}
 					mu.Unlock()
 					if floor.Max(s.Received) == s.Received {
 						return
@@ -441,15 +443,10 @@
 	}
 }
 
-// leads waits until the promoted endpoint accepts transactions that write.
-func (ch *changeOf) leads(ctx context.Context, replicas []catalog.Endpoint, id fleet.EndpointID) bool {
+// leads waits until the promoted endpoint is the primary of a new term.
+func (ch *changeOf) leads(ctx context.Context, replicas []catalog.Endpoint, id fleet.EndpointID, before fleet.Term) bool {
 	c := ch.c
-	var e catalog.Endpoint
-	for _, r := range replicas {
-		if r.ID == id {
-			e = r
-		}
-	}
+	i := slices.IndexFunc(replicas, func(e catalog.Endpoint) bool { return e.ID == id })
 	var w pool.Wire
 	defer func() {
 		if w != nil {
@@ -459,22 +456,24 @@
 	for ch.holds(ctx) {
 		var err error
 		if w == nil {
-			if w, _, err = c.Dialer.Open(e, c.systemAccount()); err != nil {
+			if w, _, err = c.Dialer.Open(replicas[i], c.systemAccount()); err != nil {
 				w = nil
 			}
 		}
 		if w != nil {
 			var answers []stmt.Answer
-			answers, err = w.Do(time.Now().Add(endpointCall), nil, stmt.Statement{Kind: stmt.Begin}, stmt.Statement{Kind: stmt.Rollback})
-			if err == nil && answers[0].Code == stmt.OK {
-				c.Log.Info("control: new primary leads", "group", string(ch.old.Group), "endpoint", string(id),
-					"after_ms", (c.Clock.Now() - ch.start).Milliseconds())
-				return true
-			}
-			if err != nil {
+			var s stmt.EndpointState
+			if answers, err = w.Do(time.Now().Add(endpointCall), nil, stmt.Statement{Kind: stmt.Status}); err == nil {
+				s, _ = c.Names.DecodeState(answers[0]) // a refusal is no leadership; it is asked again
+			} else {
 				w.Close()
 				w = nil
 			}
+			if takeover.Leads(s, before) {
+				c.Log.Info("control: new primary leads", "group", string(ch.old.Group), "endpoint", string(id),
+					"term", uint64(s.Term), "after_ms", (c.Clock.Now() - ch.start).Milliseconds())
+				return true
+			}
 		}
 		if !sleep(ctx, changePoll) {
 			return false
