--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/rows"
 	"github.com/vanillahinge/vanillahinge/edge/exchange"
 )
@@ -22,12 +23,14 @@
 	// lease.Duration.
 	ownWait = time.Second
 	// tableWait is how long it may hold one for the other tables. A connection
-	// that has gone silent is noticed after it, so it is below the 3 s within
-	// which a configuration has to be in force.
-	tableWait = 2 * time.Second
+	// that has gone silent is noticed after it; a configuration has to be in
+	// force 7 s after such a fault (4 s of stability and 3 s).
+	tableWait = 5 * time.Second
 	// feedSlack is how much longer than its wait a call may take: a store that
 	// answers 75 times more slowly than usual needs 300 ms.
 	feedSlack = 600 * time.Millisecond
+	// waitSlack covers the granularity of the store's timers.
+	waitSlack = 50 * time.Millisecond
 	// readTimeout bounds a read of a whole table.
 	readTimeout = 1500 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call.
@@ -35,6 +38,36 @@
 	retryMax = 800 * time.Millisecond
 )
 
+const (
+	// readers is how many instances read the store's feeds; the others learn
+	// from them, so that the calls do not grow with the fleet. With two, one may
+	// fail.
+	readers = 2
+	// readerPoll is how often an instance looks whether it has become a reader.
+	readerPoll = 200 * time.Millisecond
+)
+
+// reads reports whether this instance has to read the store itself: it is among
+// the first of the instances that it hears, or the others bring no proof.
+func (c *Control) reads(now time.Duration) bool {
+	if at, ok := c.lease.Proof(); !ok || now > at+storeLate {
+		return true
+	}
+	return slices.Contains(c.readers(now), c.Self.ID)
+}
+
+// readers returns the instances that read the store, as far as this one knows.
+func (c *Control) readers(now time.Duration) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, m := range c.running(now) {
+		if m.Running && m.Heard {
+			ids = append(ids, m.ID)
+		}
+	}
+	ids = fleet.Rank("readers", ids)
+	return ids[:min(readers, len(ids))]
+}
+
 type feed struct {
 	table string
 	wait  time.Duration
@@ -45,10 +78,26 @@
 
 // follow keeps a table up to date from the store.
 func (c *Control) follow(ctx context.Context, f feed) {
-	after, whole := uint64(0), true
+	after, whole, gone := uint64(0), true, false
 	failures := 0
 	lost := time.Duration(0)
 	for ctx.Err() == nil {
+		reads := false
+		if c.do(ctx, func() {
+			t := c.tables[f.table]
+			reads = !t.loaded || c.reads(c.Clock.Now())
+			after = max(after, t.asOf)
+			whole = gone || whole && !t.loaded
+		}) != nil {
+			return
+		}
+		if !reads {
+			failures = 0
+			if !sleep(ctx, readerPoll) {
+				return
+			}
+			continue
+		}
 		start := c.Clock.Now()
 		var got []rows.Row
 		var asOf uint64
@@ -66,7 +115,7 @@
 		switch {
 		case errors.Is(err, rows.ErrHistoryGone):
 			c.Log.Info("store: history gone; reading the whole table", "table", f.table)
-			whole = true
+			gone = true
 			continue
 		case err != nil:
 			if failures++; failures == 1 {
@@ -84,7 +133,7 @@
 			failures = 0
 		}
 		replace := whole
-		whole = false
+		whole, gone = false, false
 		after = max(after, asOf)
 		if c.do(ctx, func() {
 			if replace {
@@ -93,7 +142,13 @@
 				c.apply(f.table, got, asOf)
 			}
 			if f.proof {
-				c.lease.Prove(start)
+				proof := start
+				if !replace && len(got) == 0 && c.Clock.Now()-start >= f.wait {
+					// The store held the call until there had been no change for
+					// the whole wait.
+					proof += f.wait - waitSlack
+				}
+				c.lease.Prove(proof)
 				c.renew()
 			}
 		}) != nil {
@@ -166,29 +221,33 @@
 	// exchangePeriod is the time between calls to another instance: short
 	// against the 3 s within which a configuration has to be in force.
 	exchangePeriod = time.Second
-	// exchangeHurry is the period while the store gives this instance nothing.
-	exchangeHurry = 300 * time.Millisecond
+	// exchangeHurry is the period for the instances that read the store, and for
+	// all while the store gives this one nothing. With ownWait it keeps proofs
+	// well below lease.Duration.
+	exchangeHurry = 500 * time.Millisecond
 	// exchangeTimeout bounds a call.
 	exchangeTimeout = 500 * time.Millisecond
-	// storeLate is the age of the last proof above which the store counts as
-	// giving nothing.
-	storeLate = ownWait + feedSlack
+	// storeLate is the age of the last proof above which an instance reads the
+	// store itself. Proofs from a reader are up to ownWait and exchangeHurry old;
+	// a read takes far less than what is left to lease.Duration.
+	storeLate = ownWait + exchangeHurry + 400*time.Millisecond
 )
 
 // exchangeLoop calls the other instances.
 func (c *Control) exchangeLoop(ctx context.Context) {
-	for {
-		period := exchangePeriod
+	for round := 0; ; round++ {
 		var calls []*peer
 		var u exchange.Update
 		if c.do(ctx, func() {
 			now := c.Clock.Now()
-			if at, ok := c.lease.Proof(); !ok || now > at+storeLate {
-				period = exchangeHurry
-			}
+			at, ok := c.lease.Proof()
+			all := round%int(exchangePeriod/exchangeHurry) == 0 || !ok || now > at+storeLate
+			near := c.readers(now)
 			u = exchange.Update{From: c.Self.ID, Tables: c.tableStates()}
 			for _, p := range c.peers {
-				calls = append(calls, p)
+				if all || slices.Contains(near, p.ID) {
+					calls = append(calls, p)
+				}
 			}
 		}) != nil {
 			return
@@ -196,7 +255,7 @@
 		for _, p := range calls {
 			go c.callPeer(ctx, p, &u)
 		}
-		if !sleep(ctx, period) {
+		if !sleep(ctx, exchangeHurry) {
 			return
 		}
 	}
