--- a/core/placing/placing.go
+++ b/core/placing/placing.go
@@ -59,6 +59,14 @@
 	w.typical = max(t, 100*time.Microsecond)
 }
 
+// Ceiling returns how many statements may be in flight from one of several
+// instances at an endpoint: together about four times its slots, so that the
+// endpoint's own first come, first served queue stays short, and from one
+// instance no more than keep its slots busy.
+func Ceiling(slots, members int) int {
+	return min(max(2, (4*slots+members-1)/max(1, members)+1), slots+1)
+}
+
 // Load is what is known of one endpoint.
 type Load struct {
 	// InFlight counts this instance's statements at the endpoint.
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -6,9 +6,9 @@
 // when an operation needs one, so that the whole burst serves wherever the
 // operations arrive. An instance that does not reach the home admits 1/n of the
 // rate by itself, and a home sets 1/n aside for every instance that it does not
-// hear, so that the sum stays within the rate. A process starts with empty
-// buckets, since a predecessor may have spent the burst, unless the whole fleet
-// starts for the first time.
+// hear, so that the sum stays within the rate. A new home cannot know what its
+// predecessor has given out, so its bucket starts with a part of the tolerance
+// of the limits, and full only when the whole fleet starts for the first time.
 package share
 
 import (
@@ -30,8 +30,25 @@
 	// minDry is the least time for which an instance refuses by itself after the
 	// home had no token, about the time of a call between data centres.
 	minDry = 10 * time.Millisecond
+	// startPart of the tolerance is what a new home starts with: two homes in
+	// one window still keep within it.
+	startPart = 0.4
 )
 
+// Tolerance is by how much an account may exceed its limits in a window.
+type Tolerance struct {
+	Window time.Duration
+	// Factor is the excess as a part of what the limits allow in a window.
+	Factor float64
+	// Operations is an excess on top.
+	Operations float64
+}
+
+// start returns the tokens that a new home starts with.
+func (t Tolerance) start(a catalog.Account) float64 {
+	return startPart * (t.Factor*(a.Rate*t.Window.Seconds()+a.Burst) + t.Operations)
+}
+
 // Place is where an account's tokens come from.
 type Place uint8
 
@@ -60,12 +77,15 @@
 // tokens of the accounts whose home it is.
 type Limiter struct {
 	firstStart bool
+	tolerance  Tolerance
 	accounts   map[fleet.AccountID]*account
 }
 
 type account struct {
 	limits catalog.Account
 	place  Place
+	// started is when the bucket here was last given its first tokens.
+	started time.Duration
 	// fraction of the rate that fills the bucket here: what the home may give
 	// out, or the part of an instance that is cut off.
 	fraction float64
@@ -81,8 +101,8 @@
 }
 
 // New returns a limiter without accounts.
-func New(firstStart bool) *Limiter {
-	return &Limiter{firstStart: firstStart, accounts: map[fleet.AccountID]*account{}}
+func New(firstStart bool, t Tolerance) *Limiter {
+	return &Limiter{firstStart: firstStart, tolerance: t, accounts: map[fleet.AccountID]*account{}}
 }
 
 // SetAccounts installs the limits in force.
@@ -95,7 +115,7 @@
 	for id, a := range limits {
 		b := l.accounts[id]
 		if b == nil {
-			b = &account{fraction: 1, filled: now, measured: now}
+			b = &account{fraction: 1, filled: now, measured: now, started: now, tokens: l.tolerance.start(a)}
 			if l.firstStart {
 				b.tokens = a.Burst
 			}
@@ -110,16 +130,19 @@
 }
 
 // SetPlace says where an account's tokens come from and which fraction of the
-// rate this instance gives out by itself. A bucket that is newly used starts
-// empty.
+// rate this instance gives out by itself. A bucket that becomes the account's
+// again within a window starts empty.
 func (l *Limiter) SetPlace(now time.Duration, id fleet.AccountID, p Place, fraction float64) {
 	b := l.accounts[id]
 	if b == nil {
 		return
 	}
 	b.fill(now)
-	if p != b.place && !(l.firstStart && b.measured == b.filled && b.demand == 0) {
+	if p != b.place && now > b.started {
 		b.tokens = 0
+		if p == Here && now > b.started+l.tolerance.Window {
+			b.tokens, b.started = l.tolerance.start(b.limits), now
+		}
 	}
 	b.place, b.fraction = p, fraction
 	b.tokens = math.Min(b.tokens, b.capacity())
--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -116,7 +116,7 @@
 	a := &app{settings: s, path: path, log: log, metrics: m,
 		store: platform.NewStore(s.StoreAddr), promoter: platform.NewPromoter(s.PromotionAddr, s.Instance)}
 	a.pool = pool.New(clk, dialer{}, log, m, s.DataCentre)
-	limiter := control.NewLimiter(clk, m, s.FirstStart)
+	limiter := control.NewLimiter(clk, m, s.FirstStart, s.Quota)
 	a.control = control.New(control.Config{
 		Self:  catalog.Member{ID: s.Instance, DataCentre: s.DataCentre, Addr: s.PeerAddr},
 		Clock: clk, Store: a.store, Promoter: a.promoter, Dialer: dialer{}, Pool: a.pool, Limiter: limiter, Log: log, Metrics: m,
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -42,8 +42,8 @@
 }
 
 // NewLimiter returns a limiter without accounts.
-func NewLimiter(c *clock.Clock, m *telemetry.Metrics, firstStart bool) *Limiter {
-	return &Limiter{clock: c, metrics: m, l: share.New(firstStart), homes: map[fleet.AccountID]home{}, asks: map[fleet.AccountID]*ask{}}
+func NewLimiter(c *clock.Clock, m *telemetry.Metrics, firstStart bool, t share.Tolerance) *Limiter {
+	return &Limiter{clock: c, metrics: m, l: share.New(firstStart, t), homes: map[fleet.AccountID]home{}, asks: map[fleet.AccountID]*ask{}}
 }
 
 // Admit takes one operation of an account. It may wait for a call to another
--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxAttempts bounds how often a statement is offered to endpoints.
-	maxAttempts = 4
+	// maxAttempts bounds how often a statement is offered to endpoints after
+	// its objective can no longer be met, and busyAttempts before.
+	maxAttempts  = 4
+	busyAttempts = 12
 	// maxNames bounds the shapes prepared on a connection before it is reset.
 	maxNames = 100
 	// pauseMin and pauseMax bound the random pause before a statement is
@@ -138,8 +140,12 @@
 }
 
 // again reports whether the statement may be offered once more.
-func (o *offer) again() bool {
-	return o.attempt < maxAttempts && time.Until(o.deadline) > o.work.Typical()
+func (o *offer) again(now time.Duration) bool {
+	limit := maxAttempts
+	if now < o.latest() {
+		limit = busyAttempts
+	}
+	return o.attempt < limit && time.Until(o.deadline) > o.work.Typical()
 }
 
 // pause waits a moment before the same endpoint is asked again.
@@ -162,7 +168,7 @@
 			return c, floor, stmt.Answer{}
 		}
 		var refusal *pool.Refusal
-		if errors.As(err, &refusal) || !o.again() {
+		if errors.As(err, &refusal) || !o.again(s.e.Clock.Now()) {
 			return nil, floor, stmt.Answer{Code: stmt.Busy, Text: err.Error()}
 		}
 		var refused *stmt.RefusedError
@@ -208,7 +214,7 @@
 		case err != nil && sent && !time.Now().Before(o.deadline):
 			return stmt.Answer{Code: stmt.Timeout, Text: "no answer within the route's time limit"}
 		case err != nil:
-			if !o.again() {
+			if !o.again(s.e.Clock.Now()) {
 				if sent {
 					return stmt.Answer{Code: stmt.Failed, Text: "the answer was lost; repeat the read"}
 				}
@@ -218,10 +224,10 @@
 				pause()
 			}
 		case a.Code.NotRun():
-			if !o.again() {
+			if !o.again(s.e.Clock.Now()) {
 				return stmt.Answer{Code: stmt.Busy, Text: "the endpoints refused it; try again later"}
 			}
-			if a.Code != stmt.Lagging && (writes || r.Freshness == catalog.Latest) {
+			if a.Code != stmt.Lagging && (o.attempt > 1 || writes || r.Freshness == catalog.Latest) {
 				pause()
 			}
 		default:
@@ -317,7 +323,7 @@
 			s.e.Pool.Finish(c, a, nil)
 		}
 		s.e.Pool.Release(c, err == nil && a.State == stmt.Idle)
-		if !o.again() {
+		if !o.again(s.e.Clock.Now()) {
 			return stmt.Answer{Code: stmt.Busy, Text: "no endpoint could begin the transaction; try again later"}, false
 		}
 		s.e.Metrics.Count(`retries{why="` + why(a, err) + `"}`)
@@ -365,15 +371,15 @@
 			if commit && tx.wrote && sent {
 				return stmt.Answer{Code: stmt.InDoubt, Text: "the answer to the commit was lost; check before repeating"}
 			}
-			if first && !sent && o.again() {
+			if first && !sent && o.again(s.e.Clock.Now()) {
 				continue
 			}
 			tx.failed = true
 			return stmt.Answer{Code: stmt.Aborted, Text: "the connection of the transaction was lost; it is rolled back"}
-		case a.Code.NotRun() && a.Code != stmt.ReadOnly && a.State == stmt.InTransaction && o.again():
+		case a.Code.NotRun() && a.Code != stmt.ReadOnly && a.State == stmt.InTransaction && o.again(s.e.Clock.Now()):
 			o.attempt++
 			pause()
-		case a.Code.NotRun() && first && !commit && o.again():
+		case a.Code.NotRun() && first && !commit && o.again(s.e.Clock.Now()):
 			// Nothing of the transaction has run; it may begin elsewhere.
 			o.avoid = c.Endpoint()
 			s.detach()
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -231,7 +231,7 @@
 			}
 			s.Endpoint, s.listed = e, true
 			s.limit = max(2, (v.Catalog.Groups[e.Group].MaxConnections-reservedConnections)/max(1, v.Members))
-			s.load.SetCeiling(s.limit)
+			s.load.SetCeiling(min(s.limit, placing.Ceiling(e.Slots, v.Members)))
 		}
 	}
 	for id, s := range p.servers {
