--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -64,6 +64,8 @@
 	Config
 	mailbox chan func()
 	view    atomic.Pointer[view.View]
+	// regained is closed when a feed has regained the store.
+	regained atomic.Pointer[chan struct{}]
 
 	// The rest belongs to the control goroutine.
 	tables  map[string]*table
@@ -126,6 +128,8 @@
 		ctl.tables[name] = &table{rows: map[string]rows.Row{}}
 	}
 	ctl.view.Store(&view.View{})
+	regained := make(chan struct{})
+	ctl.regained.Store(&regained)
 	return ctl
 }
 
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -33,9 +33,12 @@
 	waitSlack = 50 * time.Millisecond
 	// readTimeout bounds a read of a whole table.
 	readTimeout = 1500 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call.
-	retryMin = 100 * time.Millisecond
-	retryMax = 800 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed call. The feeds
+	// without proof pause for longer; they go on at once when another feed has
+	// regained the store.
+	retryMin  = 100 * time.Millisecond
+	retryMax  = 250 * time.Millisecond
+	retryRest = 2 * time.Second
 )
 
 const (
@@ -123,12 +126,17 @@
 				c.Log.Warn("store: lost", "table", f.table, "error", err.Error())
 			}
 			c.Metrics.Count(`store_failures{table="` + f.table + `"}`)
-			if !sleep(ctx, min(retryMin<<min(failures-1, 4), retryMax)) {
+			pause := min(retryMin<<min(failures-1, 4), retryMax)
+			if !f.proof {
+				pause = retryRest
+			}
+			if !c.await(ctx, pause) {
 				return
 			}
 			continue
 		}
 		if failures > 0 {
+			c.wake()
 			c.Log.Info("store: regained", "table", f.table, "away_ms", (c.Clock.Now() - lost).Milliseconds())
 			failures = 0
 		}
@@ -157,6 +165,25 @@
 	}
 }
 
+// await pauses until a feed has regained the store, unless ctx ends first.
+func (c *Control) await(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-*c.regained.Load():
+	case <-t.C:
+	}
+	return true
+}
+
+// wake ends the pauses of await.
+func (c *Control) wake() {
+	next := make(chan struct{})
+	close(*c.regained.Swap(&next))
+}
+
 // sleep pauses unless ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
