--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -158,7 +158,7 @@
 		o.attempt++
 		floor, replicas := s.placement(o.route, readOnly)
 		c, err := s.e.Pool.Acquire(pool.Request{
-			Group: o.route.Group, Account: o.account, Primary: !replicas, Avoid: o.avoid,
+			Group: o.route.Group, Account: o.account, Primary: !replicas, Floor: floor, Avoid: o.avoid,
 			Priority: o.route.Priority, Latest: o.latest(), Work: o.work, Values: s.values,
 		})
 		if err == nil {
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -90,6 +90,7 @@
 type server struct {
 	catalog.Endpoint
 	load    *placing.Load
+	lag     placing.Lag
 	limit   int // connections
 	open    int // connections, also those being opened
 	idle    []*Conn
@@ -127,6 +128,8 @@
 	Account fleet.AccountID
 	// Primary asks for the group's primary.
 	Primary bool
+	// Floor is the position that a replica must have.
+	Floor fleet.Floor
 	// Avoid is an endpoint that has just refused or lost the statement.
 	Avoid    fleet.EndpointID
 	Priority int
@@ -301,7 +304,7 @@
 // answer, or nil when none has room; any is false when none can serve it.
 func (p *Pool) choose(r *Request, now time.Duration) (best *server, expected time.Duration, any bool) {
 	primary, usable := p.leader(r.Group, now)
-	soonest := time.Duration(1<<62 - 1)
+	var soonest time.Duration
 	for _, e := range p.view.Endpoints[r.Group] {
 		s := p.servers[e.ID]
 		isPrimary := usable && e.ID == primary
@@ -309,6 +312,9 @@
 			continue
 		}
 		any = true
+		if !isPrimary && !s.lag.Has(now, r.Floor) {
+			continue
+		}
 		at := s.load.Expected(now, r.Work.Typical(), s.distance(), s.Slots)
 		if !p.hasIdle(s, r.Account) {
 			at += openCost + 2*s.distance()
@@ -316,7 +322,9 @@
 		if e.ID == r.Avoid {
 			at += r.Work.Typical() * 4
 		}
-		soonest = min(soonest, at)
+		if soonest == 0 || at < soonest {
+			soonest = at
+		}
 		if !s.load.Room() || !p.hasIdle(s, r.Account) && s.open >= s.limit && len(s.idle) == 0 {
 			continue
 		}
@@ -325,7 +333,7 @@
 		}
 	}
 	if best == nil {
-		expected = soonest
+		expected = max(soonest, r.Work.Typical())
 	}
 	return best, expected, any
 }
@@ -603,7 +611,9 @@
 		s.load.Answered(now, took-2*s.distance(), work.Typical())
 		work.Sample(took - 2*s.distance())
 	}
-	if c.Primary && !c.stopped.Load() {
+	if !c.Primary {
+		s.lag.Reported(now, a.Position, a.Code == stmt.Lagging)
+	} else if !c.stopped.Load() {
 		p.group(s.Group).fresh.Observe(c.started, a.Position)
 	}
 	p.end(c)
