--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -172,7 +172,7 @@
 			return nil, floor, stmt.Answer{Code: stmt.Busy, Text: err.Error()}
 		}
 		var refused *stmt.RefusedError
-		if errors.As(err, &refused) && !replicas {
+		if errors.As(err, &refused) && refused.Code != stmt.TooManyConnections && !replicas {
 			pause()
 		}
 	}
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -41,6 +41,10 @@
 	// peekAfter is the idle time after which a connection is checked for an end
 	// that arrived meanwhile.
 	peekAfter = 5 * time.Millisecond
+	// fullPause is how long an endpoint that refused a connection for its ceiling
+	// is not asked for more; connections of instances that lost power stay there
+	// for up to 3 s.
+	fullPause = 200 * time.Millisecond
 	// changeWait bounds the wait of a statement while its group changes its
 	// primary, above the time that a change takes with all instances answering.
 	changeWait = 1600 * time.Millisecond
@@ -93,6 +97,10 @@
 	lag     placing.Lag
 	limit   int // connections
 	open    int // connections, also those being opened
+	// full is until when the endpoint is taken to have no place for more
+	// connections than held.
+	full time.Duration
+	held int
 	idle    []*Conn
 	leased  map[*Conn]struct{}
 	listed  bool
@@ -107,6 +115,14 @@
 	answered time.Duration
 }
 
+// room returns how many connections may be open now.
+func (s *server) room(now time.Duration) int {
+	if now < s.full {
+		return min(s.limit, s.held)
+	}
+	return s.limit
+}
+
 func (s *server) distance() time.Duration { return s.rtt / 2 }
 
 type group struct {
@@ -325,7 +341,7 @@
 		if soonest == 0 || at < soonest {
 			soonest = at
 		}
-		if !s.load.Room() || !p.hasIdle(s, r.Account) && s.open >= s.limit && len(s.idle) == 0 {
+		if !s.load.Room() || !p.hasIdle(s, r.Account) && s.open >= s.room(now) && len(s.idle) == 0 {
 			continue
 		}
 		if best == nil || at < expected {
@@ -366,7 +382,7 @@
 		c = s.idle[found]
 		s.idle = slices.Delete(s.idle, found, found+1)
 	} else {
-		if s.open >= s.limit {
+		if s.open >= s.room(now) {
 			s.idle[0].Wire.Close()
 			s.idle = slices.Delete(s.idle, 0, 1)
 			s.open--
@@ -577,7 +593,11 @@
 	var refused *stmt.RefusedError
 	if errors.As(err, &refused) {
 		s.answer(now)
-		s.load.Refused(now)
+		if refused.Code == stmt.TooManyConnections {
+			s.full, s.held = now+fullPause, s.open
+		} else {
+			s.load.Refused(now)
+		}
 	} else if s.failing == 0 {
 		s.failing = now
 	}
--- a/edge/pool/watch.go
+++ b/edge/pool/watch.go
@@ -30,6 +30,7 @@
 				due = append(due, s)
 			}
 		}
+		p.dispatch() // pauses may have ended
 		p.mu.Unlock()
 		for _, s := range due {
 			go p.check(s)
