--- a/core/share/share.go
+++ b/core/share/share.go
@@ -131,13 +131,17 @@
 
 // SetPlace says where an account's tokens come from and which fraction of the
 // rate this instance gives out by itself. A bucket that becomes the account's
-// again within a window starts empty.
-func (l *Limiter) SetPlace(now time.Duration, id fleet.AccountID, p Place, fraction float64) {
+// again within a window starts empty. SetPlace returns the tokens that a former
+// home has left for the next one.
+func (l *Limiter) SetPlace(now time.Duration, id fleet.AccountID, p Place, fraction float64) (left float64) {
 	b := l.accounts[id]
 	if b == nil {
-		return
+		return 0
 	}
 	b.fill(now)
+	if b.place == Here && p == Remote {
+		left = b.tokens
+	}
 	if p != b.place && now > b.started {
 		b.tokens = 0
 		if p == Here && now > b.started+l.tolerance.Window {
@@ -146,6 +150,15 @@
 	}
 	b.place, b.fraction = p, fraction
 	b.tokens = math.Min(b.tokens, b.capacity())
+	return left
+}
+
+// Inherit adds the tokens that a former home has left.
+func (l *Limiter) Inherit(now time.Duration, id fleet.AccountID, tokens float64) {
+	if b := l.accounts[id]; b != nil && tokens > 0 {
+		b.fill(now)
+		b.tokens = math.Min(b.capacity(), b.tokens+tokens)
+	}
 }
 
 func (b *account) capacity() float64 { return math.Max(1, b.limits.Burst*b.fraction) }
@@ -208,11 +221,12 @@
 }
 
 // Grant gives out tokens as home. It returns how many, and after which time
-// there will be one if there are fewer than wanted.
-func (l *Limiter) Grant(now time.Duration, id fleet.AccountID, want int) (granted int, retry time.Duration) {
+// there will be one if there are fewer than wanted. It returns false for an
+// account whose limits are not known here.
+func (l *Limiter) Grant(now time.Duration, id fleet.AccountID, want int) (granted int, retry time.Duration, ok bool) {
 	b := l.accounts[id]
 	if b == nil {
-		return want, 0
+		return 0, 0, false
 	}
 	b.fill(now)
 	granted = max(0, min(want, int(b.tokens)))
@@ -224,7 +238,7 @@
 			retry = time.Second
 		}
 	}
-	return granted, max(0, retry)
+	return granted, max(0, retry), true
 }
 
 // Granted records the home's answer to a call begun at asked, and returns how
@@ -269,6 +283,8 @@
 	Running bool
 	// Heard is true when calls to it succeed.
 	Heard bool
+	// Serving is false while it starts or leaves; it is no home then.
+	Serving bool
 }
 
 // Home returns where an account's tokens come from and which fraction of the
@@ -276,23 +292,26 @@
 // with Running and Heard set.
 func Home(self fleet.InstanceID, account fleet.AccountID, members []Member) (home fleet.InstanceID, p Place, fraction float64) {
 	ids := make([]fleet.InstanceID, 0, len(members))
-	silent := 0
+	running, silent := 0, 0
 	heard := map[fleet.InstanceID]bool{}
 	for _, m := range members {
 		if !m.Running {
 			continue
 		}
-		ids = append(ids, m.ID)
+		running++
+		if m.Serving {
+			ids = append(ids, m.ID)
+		}
 		heard[m.ID] = m.Heard
 		if !m.Heard {
 			silent++
 		}
 	}
+	part := 1 / float64(max(1, running))
 	if len(ids) == 0 {
-		return self, Here, 1
+		return self, CutOff, part
 	}
 	home = fleet.Rank("account/"+string(account), ids)[0]
-	part := 1 / float64(len(ids))
 	switch {
 	case home == self:
 		return home, Here, 1 - float64(silent)*part
--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -81,6 +81,9 @@
 	control  *control.Control
 	engine   *engine.Engine
 	stopping atomic.Bool
+	// drained is closed once no session is left. Other instances take one that
+	// cannot be called for not running, so the port for them stays until then.
+	drained chan struct{}
 }
 
 // dialer opens connections to endpoints in the line protocol.
@@ -113,7 +116,7 @@
 func assemble(s platform.Settings, path string, log *telemetry.Log) *app {
 	clk := clock.New()
 	m := telemetry.NewMetrics()
-	a := &app{settings: s, path: path, log: log, metrics: m,
+	a := &app{drained: make(chan struct{}), settings: s, path: path, log: log, metrics: m,
 		store: platform.NewStore(s.StoreAddr), promoter: platform.NewPromoter(s.PromotionAddr, s.Instance)}
 	a.pool = pool.New(clk, dialer{}, log, m, s.DataCentre)
 	limiter := control.NewLimiter(clk, m, s.FirstStart, s.Quota)
@@ -144,9 +147,9 @@
 		kratos.Logger(kratoslog.NewStdLogger(io.Discard)),
 		kratos.StopTimeout(a.settings.Grace+time.Second),
 		kratos.Server(
-			newHTTP("peers", a.settings.PeerAddr, exchange.Handler(a.control)),
-			newHTTP("metrics", a.settings.MetricsAddr, metricsMux),
-			newHTTP("readiness", a.settings.ReadyAddr, platform.ReadyHandler(a.ready)),
+			newHTTP("peers", a.settings.PeerAddr, exchange.Handler(a.control), a.drained),
+			newHTTP("metrics", a.settings.MetricsAddr, metricsMux, a.drained),
+			newHTTP("readiness", a.settings.ReadyAddr, platform.ReadyHandler(a.ready), a.drained),
 			&callers{a: a},
 		),
 	)
@@ -226,6 +229,8 @@
 	c.a.log.Info("app: stopping", "sessions", c.a.engine.Sessions(), "within_ms", within.Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
+	defer close(c.a.drained)
+	c.a.control.Stop(ctx)
 	c.a.engine.Stop(ctx, within)
 	if c.l != nil {
 		return c.l.Close()
@@ -235,13 +240,14 @@
 
 // httpServer is an HTTP listener as a kratos server.
 type httpServer struct {
-	name string
-	addr string
+	name    string
+	addr    string
+	drained <-chan struct{}
 	http.Server
 }
 
-func newHTTP(name, addr string, h http.Handler) *httpServer {
-	return &httpServer{name: name, addr: addr, Server: http.Server{Handler: h, ReadHeaderTimeout: platform.ServerTimeout}}
+func newHTTP(name, addr string, h http.Handler, drained <-chan struct{}) *httpServer {
+	return &httpServer{name: name, addr: addr, drained: drained, Server: http.Server{Handler: h, ReadHeaderTimeout: platform.ServerTimeout}}
 }
 
 // Start serves until Stop.
@@ -256,5 +262,8 @@
 	return nil
 }
 
-// Stop closes the listener. Peers and the platform ask again elsewhere.
-func (s *httpServer) Stop(context.Context) error { return s.Server.Close() }
+// Stop closes the listener once no session is left.
+func (s *httpServer) Stop(context.Context) error {
+	<-s.drained
+	return s.Server.Close()
+}
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -80,6 +80,8 @@
 	peers   map[fleet.InstanceID]*peer
 	lease   *lease.Lease
 	expiry  time.Duration
+	// leaving is set once this instance stops.
+	leaving bool
 }
 
 // table is this instance's copy of a table.
@@ -110,6 +112,8 @@
 	client     *exchange.Peer
 	heard      time.Duration
 	notRunning bool
+	// serving is true until the instance says otherwise.
+	serving bool
 }
 
 // keepUnlisted is how long an endpoint that left the list is still used while
@@ -127,6 +131,7 @@
 	for _, name := range []string{c.Names.Operator, c.Names.Endpoints, c.Names.Own} {
 		ctl.tables[name] = &table{rows: map[string]rows.Row{}}
 	}
+	c.Limiter.lost = ctl.lostHome
 	ctl.view.Store(&view.View{})
 	regained := make(chan struct{})
 	ctl.regained.Store(&regained)
@@ -315,7 +320,7 @@
 	}
 	for id, m := range c.members {
 		if _, ok := c.peers[id]; !ok && id != c.Self.ID {
-			c.peers[id] = &peer{Member: m, client: exchange.NewPeer(m.Addr)}
+			c.peers[id] = &peer{Member: m, client: exchange.NewPeer(m.Addr), serving: true}
 		}
 	}
 	c.renew()
@@ -461,7 +466,7 @@
 func (c *Control) judge(ctx context.Context) {
 	now := c.Clock.Now()
 	c.forget(now)
-	c.Limiter.place(now, c.Self.ID, c.running(now), c.peers)
+	c.place()
 	if c.catalog == nil || !c.tables[c.Names.Own].loaded {
 		return
 	}
@@ -509,9 +514,9 @@
 
 // running returns what is known of the members.
 func (c *Control) running(now time.Duration) []share.Member {
-	out := []share.Member{{ID: c.Self.ID, Running: true, Heard: true}}
+	out := []share.Member{{ID: c.Self.ID, Running: true, Heard: true, Serving: !c.leaving}}
 	for _, p := range c.peers {
-		out = append(out, share.Member{ID: p.ID, Running: !p.notRunning, Heard: p.heard > 0 && now < p.heard+heardFor})
+		out = append(out, share.Member{ID: p.ID, Running: !p.notRunning, Serving: p.serving, Heard: p.heard > 0 && now < p.heard+heardFor})
 	}
 	return out
 }
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -315,7 +316,7 @@
 		return
 	}
 	_ = c.do(ctx, func() {
-		p.heard, p.notRunning = start, false
+		p.heard, p.notRunning, p.serving = start, false, a.Serving
 		for name, t := range a.Tables {
 			if own, ok := c.tables[name]; ok && t.AsOf > own.asOf {
 				c.replace(name, t.Rows, t.AsOf)
@@ -342,6 +343,7 @@
 			// Rounded up, so that the proof does not become younger on the way.
 			a.ProofAge = (now - at).Milliseconds() + 1
 		}
+		a.Serving = c.Ready() && !c.leaving
 		for name, t := range c.tables {
 			if theirs := u.Tables[name]; t.loaded && t.asOf > theirs.AsOf && t.digest != theirs.Digest {
 				if a.Tables == nil {
@@ -362,6 +364,65 @@
 
 // Grant gives out an account's tokens.
 func (c *Control) Grant(_ context.Context, g *exchange.Grant) (*exchange.Granted, error) {
-	n, retry := c.Limiter.Grant(g.Account, g.Want)
+	n, retry, ok := c.Limiter.Grant(g.Account, g.Want)
+	if !ok {
+		return nil, fmt.Errorf("control: the limits of account %q are not known here; ask again after the next exchange", g.Account)
+	}
 	return &exchange.Granted{Tokens: n, RetryMS: retry.Milliseconds()}, nil
 }
+
+// Leave takes over what another instance has left.
+func (c *Control) Leave(ctx context.Context, l *exchange.Leave) (*exchange.Left, error) {
+	err := c.do(ctx, func() {
+		if p := c.peers[l.From]; p != nil && l.Leaving {
+			p.serving = false
+			c.place()
+		}
+		c.Limiter.Inherit(l.Tokens)
+	})
+	return &exchange.Left{}, err
+}
+
+// Stop makes another instance the home of this one's accounts.
+func (c *Control) Stop(ctx context.Context) {
+	if c.do(ctx, func() {
+		c.leaving = true
+		c.place()
+	}) != nil {
+		return
+	}
+	for _, p := range c.peerList(ctx) {
+		c.leave(p, &exchange.Leave{From: c.Self.ID, Leaving: true})
+	}
+}
+
+// leave sends a Leave without waiting for it.
+func (c *Control) leave(p *peer, l *exchange.Leave) {
+	go func() {
+		call, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+		defer cancel()
+		if _, err := p.client.Leave(call, l); err != nil {
+			c.Metrics.Count("exchange_failures")
+		}
+	}()
+}
+
+// place assigns the homes of accounts.
+func (c *Control) place() {
+	now := c.Clock.Now()
+	for p, tokens := range c.Limiter.place(now, c.Self.ID, c.running(now), c.peers) {
+		c.leave(p, &exchange.Leave{From: c.Self.ID, Leaving: c.leaving, Tokens: tokens})
+	}
+}
+
+// lostHome records that no process runs at a home.
+func (c *Control) lostHome(p *peer) {
+	call, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	if c.do(call, func() {
+		p.notRunning = true
+		c.place()
+	}) != nil {
+		c.Metrics.Count("control_busy")
+	}
+}
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -23,6 +23,10 @@
 	clock   *clock.Clock
 	metrics *telemetry.Metrics
 
+	// lost is told of a home that does not run, so that the next one is known
+	// at once.
+	lost func(p *peer)
+
 	mu    sync.Mutex
 	l     *share.Limiter
 	homes map[fleet.AccountID]home
@@ -88,15 +92,28 @@
 		}
 		h := l.homes[account]
 		start := l.clock.Now()
+		if h.peer == nil {
+			// This instance has become the home meanwhile, or none is known.
+			for _, w := range waiting {
+				w <- l.l.Admit(start, account) == share.Admitted
+			}
+			l.mu.Unlock()
+			continue
+		}
 		want := l.l.Want(start, account, len(waiting))
 		l.mu.Unlock()
 
-		var got *exchange.Granted
-		err := errNoHome
-		if h.peer != nil {
-			call, cancel := context.WithTimeout(context.Background(), askTimeout)
-			got, err = h.peer.client.Grant(call, &exchange.Grant{Account: account, Want: want})
-			cancel()
+		call, cancel := context.WithTimeout(context.Background(), askTimeout)
+		got, err := h.peer.client.Grant(call, &exchange.Grant{Account: account, Want: want})
+		cancel()
+		if errors.Is(err, exchange.ErrNotRunning) {
+			l.lost(h.peer)
+			if l.home(account) != h.peer {
+				l.mu.Lock()
+				a.waiting = append(waiting, a.waiting...)
+				l.mu.Unlock()
+				continue
+			}
 		}
 		l.mu.Lock()
 		now := l.clock.Now()
@@ -117,15 +134,28 @@
 	}
 }
 
-var errNoHome = errors.New("control: the account's home is not known yet; it is asked after the next exchange")
+func (l *Limiter) home(account fleet.AccountID) *peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.homes[account].peer
+}
 
 // Grant gives out tokens as home.
-func (l *Limiter) Grant(account fleet.AccountID, want int) (int, time.Duration) {
+func (l *Limiter) Grant(account fleet.AccountID, want int) (int, time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.l.Grant(l.clock.Now(), account, want)
 }
 
+// Inherit adds the tokens that former homes have left.
+func (l *Limiter) Inherit(tokens map[fleet.AccountID]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, n := range tokens {
+		l.l.Inherit(l.clock.Now(), id, n)
+	}
+}
+
 // SetAccounts installs the limits in force.
 func (l *Limiter) SetAccounts(now time.Duration, accounts map[fleet.AccountID]catalog.Account) {
 	l.mu.Lock()
@@ -133,13 +163,25 @@
 	l.l.SetAccounts(now, accounts)
 }
 
-// place assigns the homes.
-func (l *Limiter) place(now time.Duration, self fleet.InstanceID, members []share.Member, peers map[fleet.InstanceID]*peer) {
+// place assigns the homes. It returns the tokens that are left here for the
+// next homes.
+func (l *Limiter) place(now time.Duration, self fleet.InstanceID, members []share.Member, peers map[fleet.InstanceID]*peer) map[*peer]map[fleet.AccountID]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var left map[*peer]map[fleet.AccountID]float64
 	for _, id := range l.l.Accounts() {
 		at, p, fraction := share.Home(self, id, members)
-		l.l.SetPlace(now, id, p, fraction)
-		l.homes[id] = home{peer: peers[at], alone: 1 / float64(max(1, len(members)))}
+		next := peers[at]
+		if n := l.l.SetPlace(now, id, p, fraction); n >= 1 && next != nil {
+			if left == nil {
+				left = map[*peer]map[fleet.AccountID]float64{}
+			}
+			if left[next] == nil {
+				left[next] = map[fleet.AccountID]float64{}
+			}
+			left[next][id] = n
+		}
+		l.homes[id] = home{peer: next, alone: 1 / float64(max(1, len(members)))}
 	}
+	return left
 }
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -47,6 +47,8 @@
 	// ProofAge is how long ago this instance's copy of the fleet's own table
 	// was proved complete, in milliseconds; negative if never.
 	ProofAge int64 `json:"p"`
+	// Serving is false while the instance starts or leaves.
+	Serving bool `json:"s"`
 	// Leaders are the records this instance acts on; they may be ahead of its
 	// table when the holder of a change has told it.
 	Leaders []catalog.Leadership `json:"l,omitempty"`
@@ -87,12 +89,24 @@
 	RetryMS int64 `json:"r,omitempty"`
 }
 
+// Leave tells that an instance leaves, or is no longer the home of accounts,
+// and passes on the tokens that are left for those whose next home is called.
+type Leave struct {
+	From    fleet.InstanceID            `json:"f"`
+	Leaving bool                        `json:"l"`
+	Tokens  map[fleet.AccountID]float64 `json:"t,omitempty"`
+}
+
+// Left answers Leave.
+type Left struct{}
+
 // Service answers the calls of other instances.
 type Service interface {
 	Update(ctx context.Context, u *Update) (*UpdateAnswer, error)
 	Confirm(ctx context.Context, c *Confirm) (*Confirmed, error)
 	Reach(ctx context.Context, r *Reach) (*Reached, error)
 	Grant(ctx context.Context, g *Grant) (*Granted, error)
+	Leave(ctx context.Context, l *Leave) (*Left, error)
 }
 
 const (
@@ -101,6 +115,7 @@
 	confirmPath   = base + "Confirm"
 	reachPath     = base + "Reach"
 	grantPath     = base + "Grant"
+	leavePath     = base + "Leave"
 	connectWithin = 300 * time.Millisecond // several round trips between data centres
 	idlePerPeer   = 4                      // calls that run at the same time, mostly
 	maxMessage    = 8 << 20                // a configuration is at most 64 KB a row, and tables have some hundred rows
@@ -122,6 +137,7 @@
 	handle(mux, confirmPath, s.Confirm)
 	handle(mux, reachPath, s.Reach)
 	handle(mux, grantPath, s.Grant)
+	handle(mux, leavePath, s.Leave)
 	return mux
 }
 
@@ -145,6 +161,7 @@
 	confirm *connect.Client[Confirm, Confirmed]
 	reach   *connect.Client[Reach, Reached]
 	grant   *connect.Client[Grant, Granted]
+	leave   *connect.Client[Leave, Left]
 }
 
 // NewPeer returns a client for the instance at addr (host:port).
@@ -157,6 +174,7 @@
 	p.confirm = client[Confirm, Confirmed](p.http, url+confirmPath)
 	p.reach = client[Reach, Reached](p.http, url+reachPath)
 	p.grant = client[Grant, Granted](p.http, url+grantPath)
+	p.leave = client[Leave, Left](p.http, url+leavePath)
 	return p
 }
 
@@ -198,3 +216,8 @@
 func (p *Peer) Grant(ctx context.Context, g *Grant) (*Granted, error) {
 	return call(ctx, p.grant, g)
 }
+
+// Leave passes tokens on.
+func (p *Peer) Leave(ctx context.Context, l *Leave) (*Left, error) {
+	return call(ctx, p.leave, l)
+}
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -93,14 +93,14 @@
 
 type server struct {
 	catalog.Endpoint
-	load    *placing.Load
-	lag     placing.Lag
-	limit   int // connections
-	open    int // connections, also those being opened
+	load  *placing.Load
+	lag   placing.Lag
+	limit int // connections
+	open  int // connections, also those being opened
 	// full is until when the endpoint is taken to have no place for more
 	// connections than held.
-	full time.Duration
-	held int
+	full    time.Duration
+	held    int
 	idle    []*Conn
 	leased  map[*Conn]struct{}
 	listed  bool
