--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -67,6 +67,9 @@
 	// regained is closed when a feed has regained the store.
 	regained atomic.Pointer[chan struct{}]
 
+	// ctx ends with Run.
+	ctx context.Context
+
 	// The rest belongs to the control goroutine.
 	tables  map[string]*table
 	catalog *catalog.Catalog
@@ -165,6 +168,7 @@
 
 // Run keeps the state up to date until ctx ends.
 func (c *Control) Run(ctx context.Context) {
+	c.ctx = ctx
 	for _, f := range []feed{
 		{table: c.Names.Own, wait: ownWait, proof: true},
 		{table: c.Names.Operator, wait: tableWait},
@@ -320,7 +324,10 @@
 	}
 	for id, m := range c.members {
 		if _, ok := c.peers[id]; !ok && id != c.Self.ID {
-			c.peers[id] = &peer{Member: m, client: exchange.NewPeer(m.Addr), serving: true}
+			p := &peer{Member: m, client: exchange.NewPeer(m.Addr), serving: true}
+			c.peers[id] = p
+			// The accounts' homes are not known until the others answer.
+			go c.callPeer(c.ctx, p, &exchange.Update{From: c.Self.ID, Tables: c.tableStates()})
 		}
 	}
 	c.renew()
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -316,7 +316,11 @@
 		return
 	}
 	_ = c.do(ctx, func() {
+		news := p.heard == 0 || p.notRunning || p.serving != a.Serving
 		p.heard, p.notRunning, p.serving = start, false, a.Serving
+		if news {
+			c.place()
+		}
 		for name, t := range a.Tables {
 			if own, ok := c.tables[name]; ok && t.AsOf > own.asOf {
 				c.replace(name, t.Rows, t.AsOf)
