--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -65,7 +65,7 @@
 	a := assemble(s, path, log)
 	log.Info("app: starting", "data_centre", string(s.DataCentre), "callers", s.CallerAddr, "peers", s.PeerAddr,
 		"store", s.StoreAddr, "first_start", s.FirstStart)
-	err = a.run()
+	err = a.run(context.Background())
 	log.Info("app: stopped", "error", fmt.Sprint(err), "lines_lost", log.Lost())
 	return err
 }
@@ -134,7 +134,8 @@
 
 func (a *app) ready() bool { return !a.stopping.Load() && a.control.Ready() }
 
-func (a *app) run() error {
+// run serves until the process is told to stop, or parent ends.
+func (a *app) run(parent context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go a.control.Run(ctx)
@@ -144,7 +145,7 @@
 	metricsMux.Handle("GET /metrics", a.metrics)
 	k := kratos.New(
 		kratos.Name("vanillahinge-edge"), kratos.ID(string(a.settings.Instance)),
-		kratos.Logger(kratoslog.NewStdLogger(io.Discard)),
+		kratos.Context(parent), kratos.Logger(kratoslog.NewStdLogger(io.Discard)),
 		kratos.StopTimeout(a.settings.Grace+time.Second),
 		kratos.Server(
 			newHTTP("peers", a.settings.PeerAddr, exchange.Handler(a.control), a.drained),
@@ -195,7 +196,7 @@
 // callers is the listener for callers.
 type callers struct {
 	a *app
-	l net.Listener
+	l atomic.Pointer[net.Listener]
 }
 
 // Start accepts callers until Stop.
@@ -204,7 +205,7 @@
 	if err != nil {
 		return fmt.Errorf("app: listen for callers: %w; check listen.front in the settings", err)
 	}
-	c.l = l
+	c.l.Store(&l)
 	for {
 		conn, err := l.Accept()
 		switch {
@@ -232,8 +233,8 @@
 	defer close(c.a.drained)
 	c.a.control.Stop(ctx)
 	c.a.engine.Stop(ctx, within)
-	if c.l != nil {
-		return c.l.Close()
+	if l := c.l.Load(); l != nil {
+		return (*l).Close()
 	}
 	return nil
 }
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -77,7 +77,9 @@
 	// Primary says that the connection was handed out to the group's primary.
 	Primary bool
 
-	server  *server
+	server *server
+	// at is the endpoint as it was listed when the connection was handed out.
+	at      catalog.Endpoint
 	account fleet.AccountID
 	// version is that of the group's record when the connection was handed out.
 	version uint64
@@ -89,7 +91,7 @@
 }
 
 // Endpoint returns the endpoint's id.
-func (c *Conn) Endpoint() fleet.EndpointID { return c.server.ID }
+func (c *Conn) Endpoint() fleet.EndpointID { return c.at.ID }
 
 type server struct {
 	catalog.Endpoint
@@ -205,6 +207,9 @@
 	}
 }
 
+// Permitted reports whether primaries may be used now.
+func (p *Pool) Permitted() bool { return p.permitted(p.clock.Now()) }
+
 func (p *Pool) permitted(now time.Duration) bool { return now < time.Duration(p.expiry.Load()) }
 
 // MaySend reports whether a statement may be sent on a connection now. It has
@@ -393,6 +398,7 @@
 	primary, usable := p.leader(r.Group, now)
 	c.Primary, c.version = usable && s.ID == primary, p.view.Leaders[r.Group].Version
 	c.stopped.Store(false)
+	c.at = s.Endpoint
 	s.leased[c] = struct{}{}
 	p.begin(c, now)
 	return c, open
@@ -558,7 +564,7 @@
 		return nil, fmt.Errorf("%w: it closed an idle connection", stmt.ErrUnreachable)
 	}
 	start := p.clock.Now()
-	wire, _, err := p.dialer.Open(c.server.Endpoint, c.account)
+	wire, _, err := p.dialer.Open(c.at, c.account)
 	if err != nil {
 		p.metrics.Count("connections_failed")
 		p.opened(c, err)
@@ -603,9 +609,9 @@
 	}
 	p.dispatch()
 	p.mu.Unlock()
-	p.log.Warn("pool: opening a connection failed", "endpoint", string(s.ID), "addr", s.Addr, "error", err.Error())
+	p.log.Warn("pool: opening a connection failed", "endpoint", string(c.at.ID), "addr", c.at.Addr, "error", err.Error())
 	if refused == nil {
-		p.Check(s.ID)
+		p.Check(c.at.ID)
 	}
 }
 
--- a/edge/pool/watch.go
+++ b/edge/pool/watch.go
@@ -71,9 +71,12 @@
 
 func (p *Pool) check(s *server) {
 	start := p.clock.Now()
+	p.mu.Lock()
+	addr := s.Addr
+	p.mu.Unlock()
 	var err error
 	for range checkAttempts {
-		if err = p.dialer.Reach(s.Addr); err == nil {
+		if err = p.dialer.Reach(addr); err == nil {
 			break
 		}
 	}
