--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -219,7 +219,7 @@
 	_, hello = dial(t, a, "no-such", "key-acme")
 	assert.Assert(t, strings.HasPrefix(hello, "ERR NODB"))
 	for _, e := range w.endpoints {
-		for account := range e.Accounts {
+		for _, account := range e.Accounts() {
 			assert.Equal(t, account, "acme", "an endpoint learns the account's name and never its key")
 		}
 	}
@@ -255,17 +255,17 @@
 	c, _ := dial(t, a, "latest", "key-acme")
 	w.endpoints[0].LoseAnswers(1)
 	assert.Assert(t, strings.HasPrefix(c.do("PUT roof once"), "ERR INDOUBT"))
-	assert.Equal(t, w.endpoints[0].Commits, 1)
+	assert.Equal(t, w.endpoints[0].Commits(), 1)
 	assert.Assert(t, ok(c.do("BEGIN")))
 	assert.Assert(t, ok(c.do("PUT roof more")))
 	w.endpoints[0].LoseAnswers(1)
 	assert.Assert(t, strings.HasPrefix(c.do("COMMIT"), "ERR INDOUBT"))
-	assert.Equal(t, w.endpoints[0].Commits, 2)
+	assert.Equal(t, w.endpoints[0].Commits(), 2)
 
 	// An endpoint that is full did not run it; it is asked again.
 	w.endpoints[0].Shed(2)
 	assert.Assert(t, ok(c.do("PUT roof third")))
-	assert.Equal(t, w.endpoints[0].Commits, 3)
+	assert.Equal(t, w.endpoints[0].Commits(), 3)
 }
 
 // The primary crashes: another one takes over, with increasing fence numbers,
@@ -285,7 +285,7 @@
 	assert.Assert(t, strings.Contains(c.do("FETCH roof"), "ROW second|"))
 	d, _ := dial(t, b, "latest", "key-acme")
 	assert.Assert(t, strings.Contains(d.do("FETCH roof"), "ROW second|"))
-	assert.Equal(t, len(w.group.Faults), 0)
+	assert.Equal(t, len(w.group.Faults()), 0)
 }
 
 // The primary announces its end: no acknowledged commit is lost and callers are
