core/share: nothing is given out before the home is known; one first burst

Found by a property test over kills, restarts and cuts (4 instances, saturated account): a restarted process granted from its own bucket until it knew the home, and a second home after the first start gave the whole burst out again (684 to 692 operations in a window that allows 680). A new home starts with a quarter of the tolerance.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -57,6 +57,15 @@
 	Rate, Burst float64
 }
 
+// Tolerance is by how much an account may exceed its limits in a window.
+type Tolerance struct {
+	Window time.Duration
+	// Factor is the excess as a part of what the limits allow in a window.
+	Factor float64
+	// Operations is an excess on top.
+	Operations float64
+}
+
 // Group is one primary with its replicas.
 type Group struct {
 	ID fleet.GroupID
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -30,22 +30,13 @@
 	// minDry is the least time for which an instance refuses by itself after the
 	// home had no token, about the time of a call between data centres.
 	minDry = 10 * time.Millisecond
-	// startPart of the tolerance is what a new home starts with: two homes in
-	// one window still keep within it.
-	startPart = 0.4
+	// startPart of the tolerance is what a new home starts with: two new homes
+	// in one window, and the half second until all know a home, keep within it.
+	startPart = 0.25
 )
 
-// Tolerance is by how much an account may exceed its limits in a window.
-type Tolerance struct {
-	Window time.Duration
-	// Factor is the excess as a part of what the limits allow in a window.
-	Factor float64
-	// Operations is an excess on top.
-	Operations float64
-}
-
 // start returns the tokens that a new home starts with.
-func (t Tolerance) start(a catalog.Account) float64 {
+func start(t catalog.Tolerance, a catalog.Account) float64 {
 	return startPart * (t.Factor*(a.Rate*t.Window.Seconds()+a.Burst) + t.Operations)
 }
 
@@ -77,15 +68,17 @@
 // tokens of the accounts whose home it is.
 type Limiter struct {
 	firstStart bool
-	tolerance  Tolerance
+	tolerance  catalog.Tolerance
 	accounts   map[fleet.AccountID]*account
 }
 
 type account struct {
 	limits catalog.Account
 	place  Place
-	// started is when the bucket here was last given its first tokens.
-	started time.Duration
+	// placed says that the home has been known, begun that the bucket here was
+	// given its first tokens, at started.
+	placed, begun bool
+	started       time.Duration
 	// fraction of the rate that fills the bucket here: what the home may give
 	// out, or the part of an instance that is cut off.
 	fraction float64
@@ -101,7 +94,7 @@
 }
 
 // New returns a limiter without accounts.
-func New(firstStart bool, t Tolerance) *Limiter {
+func New(firstStart bool, t catalog.Tolerance) *Limiter {
 	return &Limiter{firstStart: firstStart, tolerance: t, accounts: map[fleet.AccountID]*account{}}
 }
 
@@ -115,10 +108,8 @@
 	for id, a := range limits {
 		b := l.accounts[id]
 		if b == nil {
-			b = &account{fraction: 1, filled: now, measured: now, started: now, tokens: l.tolerance.start(a)}
-			if l.firstStart {
-				b.tokens = a.Burst
-			}
+			// Until the home is known nothing is given out here.
+			b = &account{place: CutOff, filled: now, measured: now}
 			l.accounts[id] = b
 		}
 		b.fill(now)
@@ -142,12 +133,17 @@
 	if b.place == Here && p == Remote {
 		left = b.tokens
 	}
-	if p != b.place && now > b.started {
+	if p != b.place {
 		b.tokens = 0
-		if p == Here && now > b.started+l.tolerance.Window {
-			b.tokens, b.started = l.tolerance.start(b.limits), now
+	}
+	if p == Here && p != b.place && (!b.begun || now > b.started+l.tolerance.Window) {
+		b.tokens = start(l.tolerance, b.limits)
+		if l.firstStart && !b.placed {
+			b.tokens = b.limits.Burst
 		}
+		b.begun, b.started = true, now
 	}
+	b.placed = true
 	b.place, b.fraction = p, fraction
 	b.tokens = math.Min(b.tokens, b.capacity())
 	return left
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -271,7 +271,7 @@
 			at, ok := c.lease.Proof()
 			all := round%int(exchangePeriod/exchangeHurry) == 0 || !ok || now > at+storeLate
 			near := c.readers(now)
-			u = exchange.Update{From: c.Self.ID, Tables: c.tableStates()}
+			u = exchange.Update{From: c.Self.ID, Tables: c.tableStates(), Serving: c.serving()}
 			for _, p := range c.peers {
 				if all || slices.Contains(near, p.ID) {
 					calls = append(calls, p)
@@ -338,6 +338,9 @@
 	})
 }
 
+// serving reports whether this instance may be the home of accounts.
+func (c *Control) serving() bool { return c.Ready() && !c.leaving }
+
 // Update answers another instance.
 func (c *Control) Update(ctx context.Context, u *exchange.Update) (*exchange.UpdateAnswer, error) {
 	a := &exchange.UpdateAnswer{ProofAge: -1}
@@ -347,7 +350,11 @@
 			// Rounded up, so that the proof does not become younger on the way.
 			a.ProofAge = (now - at).Milliseconds() + 1
 		}
-		a.Serving = c.Ready() && !c.leaving
+		a.Serving = c.serving()
+		if p := c.peers[u.From]; p != nil && (p.notRunning || p.serving != u.Serving) {
+			p.notRunning, p.serving = false, u.Serving
+			c.place()
+		}
 		for name, t := range c.tables {
 			if theirs := u.Tables[name]; t.loaded && t.asOf > theirs.AsOf && t.digest != theirs.Digest {
 				if a.Tables == nil {
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -46,7 +46,7 @@
 }
 
 // NewLimiter returns a limiter without accounts.
-func NewLimiter(c *clock.Clock, m *telemetry.Metrics, firstStart bool, t share.Tolerance) *Limiter {
+func NewLimiter(c *clock.Clock, m *telemetry.Metrics, firstStart bool, t catalog.Tolerance) *Limiter {
 	return &Limiter{clock: c, metrics: m, l: share.New(firstStart, t), homes: map[fleet.AccountID]home{}, asks: map[fleet.AccountID]*ask{}}
 }
 
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -38,6 +38,8 @@
 type Update struct {
 	From   fleet.InstanceID      `json:"f"`
 	Tables map[string]TableState `json:"t"`
+	// Serving is false while the caller starts or leaves.
+	Serving bool `json:"s"`
 }
 
 // UpdateAnswer brings what the caller lacks.
