--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -176,7 +176,7 @@
 	MissingGrace = 2500 * time.Millisecond
 	// FailingGrace is how long a primary must fail before it is suspected; a
 	// refused connection that succeeds when repeated is no outage.
-	FailingGrace = 250 * time.Millisecond
+	FailingGrace = 120 * time.Millisecond
 	// stagger separates the claims of instances that notice the same; a claim
 	// reaches the others in a few milliseconds.
 	stagger = 60 * time.Millisecond
--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -92,7 +92,7 @@
 const (
 	// connectWithin is several round trips between data centres; a lost packet
 	// costs another attempt.
-	connectWithin = 250 * time.Millisecond
+	connectWithin = 200 * time.Millisecond
 	// handshakeWithin bounds the opening of a connection at a busy endpoint.
 	handshakeWithin = time.Second
 )
--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -159,7 +159,7 @@
 		floor, replicas := s.placement(o.route, readOnly)
 		c, err := s.e.Pool.Acquire(pool.Request{
 			Group: o.route.Group, Account: o.account, Primary: !replicas, Floor: floor, Avoid: o.avoid,
-			Priority: o.route.Priority, Latest: o.latest(), Work: o.work, Values: s.values,
+			Priority: o.route.Priority, Latest: o.latest(), Limit: o.route.StatementTimeout, Work: o.work, Values: s.values,
 		})
 		if err == nil {
 			if c.Primary {
@@ -168,9 +168,12 @@
 			return c, floor, stmt.Answer{}
 		}
 		var refusal *pool.Refusal
-		if errors.As(err, &refusal) || !o.again(s.e.Clock.Now()) {
+		if errors.As(err, &refusal) {
 			return nil, floor, stmt.Answer{Code: stmt.Busy, Text: err.Error()}
 		}
+		if !o.again(s.e.Clock.Now()) {
+			return nil, floor, stmt.Answer{Code: stmt.Busy, Text: "no connection to an endpoint; try again later"}
+		}
 		var refused *stmt.RefusedError
 		if errors.As(err, &refused) && refused.Code != stmt.TooManyConnections && !replicas {
 			pause()
@@ -218,7 +221,7 @@
 				if sent {
 					return stmt.Answer{Code: stmt.Failed, Text: "the answer was lost; repeat the read"}
 				}
-				return stmt.Answer{Code: stmt.Busy, Text: err.Error()}
+				return stmt.Answer{Code: stmt.Busy, Text: "the connection to the endpoint was lost before it was sent; try again later"}
 			}
 			if errors.Is(err, errNotPermitted) {
 				pause()
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -31,11 +31,12 @@
 	// nearDistance and farDistance are one-way delays assumed until measured.
 	nearDistance = 100 * time.Microsecond
 	farDistance  = 1400 * time.Microsecond
-	// answersDue is how long an endpoint may owe an answer before its address
-	// is tried: above nearly all answers, far below callers' deadlines.
-	answersDue = 300 * time.Millisecond
+	// answersDue is how long an endpoint may owe answers, and give none, before
+	// its address is tried: with several statements in flight hardly any calm
+	// endpoint is silent for so long.
+	answersDue = 200 * time.Millisecond
 	// watchPeriod is how often endpoints are checked for owed answers.
-	watchPeriod = 100 * time.Millisecond
+	watchPeriod = 50 * time.Millisecond
 	// retryDown is how often the address of an unreachable endpoint is tried.
 	retryDown = 250 * time.Millisecond
 	// peekAfter is the idle time after which a connection is checked for an end
@@ -45,9 +46,16 @@
 	// is not asked for more; connections of instances that lost power stay there
 	// for up to 3 s.
 	fullPause = 200 * time.Millisecond
-	// changeWait bounds the wait of a statement while its group changes its
-	// primary, above the time that a change takes with all instances answering.
+	// changeWait is how long a group's primary may be on its way out before
+	// statements for it are refused at once: above the time that a change takes
+	// with all instances answering.
 	changeWait = 1600 * time.Millisecond
+	// holdPart of a route's time limit is the longest that a statement is held
+	// while its group has no primary, so that its caller can still repeat it.
+	holdPart = 0.9
+	// permitWait bounds the wait for the permission to use a primary, which is
+	// renewed within a few calls when a machine wakes up.
+	permitWait = 250 * time.Millisecond
 )
 
 // Wire is an open connection to an endpoint.
@@ -130,6 +138,9 @@
 type group struct {
 	waiting []*waiter
 	fresh   freshness.Log
+	// changed is when the group's record last changed, unsettled when it last
+	// ceased to be settled.
+	changed, unsettled time.Duration
 }
 
 type waiter struct {
@@ -153,6 +164,8 @@
 	Priority int
 	// Latest is the last moment at which starting is of use.
 	Latest time.Duration
+	// Limit is the route's time limit for a statement.
+	Limit time.Duration
 	// Work is the kind of statement.
 	Work *placing.Work
 	// Values are the session's; a connection that has them is preferred.
@@ -235,8 +248,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, now := range v.Leaders {
-		if before := p.view.Leaders[id]; before.Primary != now.Primary && before.Version > 0 {
-			p.group(id).fresh.Reset()
+		before, g := p.view.Leaders[id], p.group(id)
+		if before.Primary != now.Primary && before.Version > 0 {
+			g.fresh.Reset()
+		}
+		if before != now {
+			g.changed = p.clock.Now()
+			if before.Settled && !now.Settled {
+				g.unsettled = g.changed
+			}
 		}
 	}
 	p.view = v
@@ -449,16 +469,14 @@
 	}
 	latest := r.Latest
 	if !any {
-		l, known := p.view.Leaders[r.Group]
-		switch {
-		case !r.Primary:
+		latest = p.primaryBy(&r, now)
+		if latest <= now {
 			p.mu.Unlock()
+			if r.Primary {
+				return nil, errNoPrimary
+			}
 			return nil, errNone
-		case known && l.Settled && p.permitted(now) && !p.failingRecently(l.Primary, now):
-			p.mu.Unlock()
-			return nil, errNoPrimary
 		}
-		latest = now + changeWait
 	} else if placing.Hopeless(now, latest, expected, g.ahead(r.Priority)+1, p.room(&r, now)) {
 		p.mu.Unlock()
 		return nil, errHopeless
@@ -488,10 +506,26 @@
 	return p.complete(w.given, w.open, r)
 }
 
-// failingRecently reports whether a change of primary may follow soon.
-func (p *Pool) failingRecently(id fleet.EndpointID, now time.Duration) bool {
-	s := p.servers[id]
-	return s == nil || s.failing > 0 && now < s.failing+changeWait
+// primaryBy returns until when it is worth waiting for a group's primary: not at
+// all unless a change is under way or may follow soon.
+func (p *Pool) primaryBy(r *Request, now time.Duration) time.Duration {
+	l, known := p.view.Leaders[r.Group]
+	if !r.Primary || !known {
+		return 0
+	}
+	until := now
+	s := p.servers[l.Primary]
+	switch {
+	case !l.Settled:
+		until = p.group(r.Group).unsettled + changeWait
+	case !p.permitted(now):
+		until = now + permitWait
+	case s == nil:
+		until = p.group(r.Group).changed + changeWait
+	case s.failing > 0:
+		until = s.failing + changeWait
+	}
+	return min(until, now+time.Duration(holdPart*float64(r.Limit)))
 }
 
 // before reports whether a waiter with this priority or a more urgent one
--- a/edge/pool/watch.go
+++ b/edge/pool/watch.go
@@ -132,6 +132,7 @@
 	p.mu.Lock()
 	s := p.servers[id]
 	recent := s != nil && !s.down && s.failing == 0 && now < s.answered+answersDue && s.answered > 0
+	failed := s != nil && s.down && now < s.checked+answersDue
 	p.mu.Unlock()
-	return recent || p.dialer.Reach(addr) == nil
+	return recent || !failed && p.dialer.Reach(addr) == nil
 }
