--- a/core/share/share.go
+++ b/core/share/share.go
@@ -32,7 +32,7 @@
 	minDry = 10 * time.Millisecond
 	// startPart of the tolerance is what a new home starts with: two new homes
 	// in one window, and the half second until all know a home, keep within it.
-	startPart = 0.25
+	startPart = 0.4
 )
 
 // start returns the tokens that a new home starts with.
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -28,6 +28,8 @@
 	// reservedConnections of an endpoint's ceiling stay free for changes of
 	// primary.
 	reservedConnections = 2
+	// usedCeiling is the part of the rest that instances hold together.
+	usedCeiling = 0.7
 	// nearDistance and farDistance are one-way delays assumed until measured.
 	nearDistance = 100 * time.Microsecond
 	farDistance  = 1400 * time.Microsecond
@@ -274,7 +276,7 @@
 				p.servers[e.ID] = s
 			}
 			s.Endpoint, s.listed = e, true
-			s.limit = max(2, (v.Catalog.Groups[e.Group].MaxConnections-reservedConnections)/max(1, v.Members))
+			s.limit = connectionLimit(v.Catalog.Groups[e.Group].MaxConnections, v.Members)
 			s.load.SetCeiling(min(s.limit, placing.Ceiling(e.Slots, v.Members)))
 		}
 	}
@@ -289,6 +291,13 @@
 	p.dispatch()
 }
 
+// connectionLimit returns how many connections an instance may hold at an
+// endpoint. A part of the ceiling stays free, since the connections of instances
+// that lost power stay there for up to 3 s and their successors need some.
+func connectionLimit(ceiling, members int) int {
+	return max(2, int(usedCeiling*float64(ceiling-reservedConnections))/max(1, members))
+}
+
 func (p *Pool) closeIdle(s *server) {
 	for _, c := range s.idle {
 		c.Wire.Close()
