engine: a stopping instance serves while callers are still sent to it

Sessions closed at SIGTERM came back within the 2 s in which the platform still sends callers, and were refused as 'stopping'. The order of the test's last two checks changed: idle sessions now end after the 0.6 s in which its transaction has to commit.

--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -377,9 +377,13 @@
 	done := make(chan struct{})
 	go func() { stop(); close(done) }()
 	w.eventually(time.Second, func() bool { return !a.ready() })
+	// Callers that are still sent here are served.
+	late, hello := dial(t, a, "latest", "key-acme")
+	assert.Equal(t, hello, "READY I -")
+	assert.Assert(t, ok(late.do("FETCH roof")))
+	assert.Assert(t, ok(c.do("COMMIT")))
 	_, err := idle.r.ReadString('\n')
 	assert.Equal(t, err, io.EOF)
-	assert.Assert(t, ok(c.do("COMMIT")))
 	<-done
 	v, _ := w.endpoints[0].Value("roof")
 	assert.Equal(t, v, "last")
--- a/edge/engine/engine.go
+++ b/edge/engine/engine.go
@@ -131,6 +131,7 @@
 		return
 	}
 	if !e.register(s) {
+		e.Metrics.Count(`sessions{outcome="stopping"}`)
 		if err := c.Refuse(stmt.Busy, "this instance is stopping; connect again"); err != nil {
 			return // the caller has gone
 		}
@@ -171,17 +172,27 @@
 }
 
 const (
-	// idlePace spreads the ends of idle sessions over the first part of a stop,
-	// so that reconnecting callers do not arrive at once.
-	idlePace = 10 * time.Millisecond
+	// rotationLag is how long after it is no longer ready an instance still gets
+	// new connections: the platform asks once a second and goes by two misses.
+	// Sessions that were closed before would come back to this instance.
+	rotationLag = 2200 * time.Millisecond
+	// idleSpread is the time over which idle sessions are closed, so that the
+	// callers do not reconnect at once.
+	idleSpread = 800 * time.Millisecond
 	// stopPoll is how often Stop looks for sessions that have ended.
 	stopPoll = 20 * time.Millisecond
 )
 
-// Stop ends the sessions: idle ones one after the other, the others when their
-// statement ends, open transactions by half of the time given. It returns when
-// all have ended or ctx does.
+// Stop ends the sessions within the time given. While the platform still sends
+// callers all are served. Then idle sessions end one after the other, the others
+// when their statement ends, and open transactions by half of the time. Stop
+// returns when all have ended or ctx does.
 func (e *Engine) Stop(ctx context.Context, within time.Duration) {
+	half := time.Now().Add(within / 2)
+	lag := min(rotationLag, within*2/5)
+	for end := time.Now().Add(lag); time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(stopPoll)
+	}
 	e.mu.Lock()
 	e.stopping.Store(true)
 	sessions := make([]*session, 0, len(e.sessions))
@@ -189,8 +200,7 @@
 		sessions = append(sessions, s)
 	}
 	e.mu.Unlock()
-	half := time.Now().Add(within / 2)
-	pace := min(idlePace, within/4/time.Duration(len(sessions)+1))
+	pace := min(idleSpread, within/8) / time.Duration(len(sessions)+1)
 	for _, s := range sessions {
 		s.stop(half)
 		time.Sleep(pace)
