control: homes are known as soon as the members are

Cause: TestGracefulEnd failed twice in 39 runs beside load: its first operation came within 50 ms of the start, before the next tick had placed the accounts' homes, and was refused as over the rate. 36 runs beside the same load pass now.

--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -258,6 +258,7 @@
 	}
 	c.catalog = next
 	c.Limiter.SetAccounts(c.Clock.Now(), next.Accounts)
+	c.place()
 	c.Metrics.Gauge("catalog_version", int64(next.Version))
 	c.Log.Info("control: configuration in force", "version", next.Version, "routes", len(next.Routes),
 		"accounts", len(next.Accounts), "keys", len(next.Keys))
@@ -330,6 +331,7 @@
 			go c.callPeer(c.ctx, p, &exchange.Update{From: c.Self.ID, Tables: c.tableStates(), Serving: c.serving()})
 		}
 	}
+	c.place()
 	c.renew()
 }
 
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -418,8 +418,11 @@
 	}()
 }
 
-// place assigns the homes of accounts.
+// place assigns the homes of accounts, once the members are known.
 func (c *Control) place() {
+	if !c.tables[c.Names.Own].loaded {
+		return
+	}
 	now := c.Clock.Now()
 	for p, tokens := range c.Limiter.place(now, c.Self.ID, c.running(now), c.peers) {
 		c.leave(p, &exchange.Leave{From: c.Self.ID, Leaving: c.leaving, Tokens: tokens})
