--- a/cmd/vanillahinge/main.go
+++ b/cmd/vanillahinge/main.go
@@ -171,6 +171,8 @@
 
 	add(nil, "explain", "Show the decisions of an instance.",
 		"  vanillahinge explain --instance 10.0.0.1:6434 --group g1 --since 10m\n  vanillahinge explain --instance 10.0.0.1:6434 --session 262147\n  vanillahinge explain --instance 10.0.0.1:6434 --account booking --kind refusal --limit 20", t.explain)
+	add(nil, "trace", "Follow a request through the logs of instances on the users' platform.",
+		"  vanillahinge trace 2f7c01ab93d4e155 --files edge-1.log,edge-2.log", t.trace)
 	r := group("report", "Reports.")
 	add(r, "burn", "Report how fast service-level objectives are used up, over all given instances.",
 		"  vanillahinge report burn --instance 10.0.0.1:6434,10.0.0.2:6434\n  vanillahinge report burn --instance 10.0.0.1:6434 --format html --out burn.html", t.reportBurn)
--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -252,6 +252,12 @@
 	return a.Code.String()
 }
 
+// lost logs a statement whose answer did not come.
+func (s *session) lost(q stmt.Statement, c *pool.Conn, err error) {
+	s.e.Log.Info("session: no answer", "id", q.ID, "database", s.database, "endpoint", string(c.Endpoint()), "primary", c.Primary,
+		"primary_replaced", c.Stopped(), "error", err.Error())
+}
+
 // served counts an operation's statement that was answered.
 func (s *session) served(q stmt.Statement, c *pool.Conn, o *offer, floor fleet.Floor) {
 	s.e.Metrics.Observe(`statement_us{database="`+s.database+`"}`, s.e.Clock.Now()-o.start)
@@ -278,6 +284,7 @@
 	}
 	a, err = s.exchange(c, deadline, s.forEndpoint(c, q, floor))
 	if err != nil {
+		s.lost(q, c, err)
 		return stmt.Answer{}, !errors.Is(err, errNotPermitted), err
 	}
 	s.e.Pool.Finish(c, a, o.work)
@@ -412,6 +419,7 @@
 	}
 	a, err = s.exchange(c, o.deadline, s.forEndpoint(c, q, fleet.Floor{}))
 	if err != nil {
+		s.lost(q, c, err)
 		return stmt.Answer{}, !errors.Is(err, errNotPermitted), err
 	}
 	s.e.Pool.Finish(c, a, o.work)
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -153,7 +153,7 @@
 	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage)))
 }
 
-// ErrNotRunning: no process listens at the instance's address.
+// ErrNotRunning means that no process listens at the instance's address.
 var ErrNotRunning = errors.New("exchange: no process listens there")
 
 // Peer calls one other instance.
--- /dev/null
+++ b/report/trace/trace_test.go
@@ -0,0 +1,31 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logs = `  7.1 edge-2 {"time":"2026-03-08T14:21:37.100Z","instance":"edge-2","message":"store: lost","table":"op"}
+{"time":"2026-03-08T14:21:38.000Z","instance":"edge-1","message":"pool: endpoint unreachable","endpoint":"i-1"}
+{"time":"2026-03-08T14:21:38.200Z","instance":"edge-1","id":"abc","endpoint":"i-1","why":"lost","message":"session: statement offered again"}
+not a line of ours
+{"time":"2026-03-08T14:21:38.700Z","instance":"edge-1","id":"abc","code":"busy","why":"the group has no primary now","message":"session: statement refused"}
+{"time":"2026-03-08T14:21:38.800Z","instance":"edge-1","id":"other","message":"session: statement refused"}
+`
+
+func TestFindNamesTheCause(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	assert.NilError(t, err)
+	assert.Equal(t, len(lines), 5)
+	s, err := Find(lines, "abc")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Cause, "statement refused at edge-1: the group has no primary now; before, endpoint i-1 answered lost; "+
+		"700ms earlier: pool: endpoint unreachable")
+	var b strings.Builder
+	assert.NilError(t, s.Write(&b))
+	assert.Equal(t, strings.Count(b.String(), "\n"), 4)
+	_, err = Find(lines, "unknown")
+	assert.ErrorContains(t, err, "no line names the request")
+}
