core/lease: proofs count only from the process's start, members only with a proof

Ruled out: counting members that do not run as confirmed, which is safe once proofs are from after the start.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -14,6 +14,10 @@
 // and the instance that changes the primary waits Duration after that, so a
 // majority proof cannot miss it.
 //
+// Proofs from before the process started do not count, and a member counts for
+// a majority only once it has a proof. Otherwise members that confirmed a change
+// and were restarted since could form a majority that does not know it.
+//
 // Times count from the process start on a clock that includes suspension.
 package lease
 
@@ -49,15 +53,19 @@
 
 // Prove records a proof at start, from the store or inherited from a peer.
 func (l *Lease) Prove(start time.Duration) {
+	if start < 0 {
+		return
+	}
 	if !l.hasProof || start > l.direct {
 		l.direct, l.hasProof = start, true
 	}
 }
 
 // Answered records that a peer answered a call begun at start with all the
-// records it knows.
-func (l *Lease) Answered(peer fleet.InstanceID, start time.Duration) {
-	if start > l.answered[peer] {
+// records it knows. A peer without a proof may not know a change that its
+// predecessor confirmed, so its answer does not count.
+func (l *Lease) Answered(peer fleet.InstanceID, start time.Duration, hasProof bool) {
+	if hasProof && start > l.answered[peer] {
 		l.answered[peer] = start
 	}
 }
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -39,8 +39,8 @@
 // Confirmation is what is known of one member during a change.
 type Confirmation struct {
 	Member fleet.InstanceID
-	// Confirmed: the member has stopped sending to the old primary, or no
-	// process runs there, since At.
+	// Confirmed: the member had stopped sending to the old primary at At, or no
+	// process ran there.
 	Confirmed bool
 	At        time.Duration
 }
@@ -48,26 +48,26 @@
 // Effective returns the time at which the old primary is no longer used by
 // anybody, for a change claimed at claimed. It returns false while that cannot
 // be said because no majority has confirmed. The reason stands in package
-// lease.
+// lease. Members that do not run count as confirmed: a process that starts there
+// later needs a proof from after its start, and so learns of the change.
 func Effective(claimed time.Duration, members []Confirmation) (time.Duration, bool) {
 	var at []time.Duration
 	for _, m := range members {
 		if m.Confirmed {
-			at = append(at, m.At)
+			at = append(at, max(claimed, m.At))
 		}
 	}
 	slices.Sort(at)
-	if len(at) == len(members) {
-		if len(at) == 0 {
-			return claimed, true
-		}
-		return max(claimed, at[len(at)-1]), true
-	}
 	need := lease.Majority(len(members))
-	if len(at) < need {
+	switch {
+	case len(members) == 0:
+		return claimed, true
+	case len(at) == len(members):
+		return at[len(at)-1], true
+	case len(at) < need:
 		return 0, false
 	}
-	return max(claimed, at[need-1]) + lease.Duration + margin, true
+	return at[need-1] + lease.Duration + margin, true
 }
 
 // Candidate is a replica that has reported its position.
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -44,7 +44,8 @@
 // may still send by a proof from before the claim.
 func TestEffectiveWaitsForSilentMembers(t *testing.T) {
 	const claimed = 10 * time.Second
-	all := []Confirmation{{"a", true, claimed + 1}, {"b", true, claimed + 5}, {"c", true, claimed + 3}}
+	all := []Confirmation{{Member: "a", Confirmed: true, At: claimed + 1}, {Member: "b", Confirmed: true, At: claimed + 5},
+		{Member: "c", Confirmed: true, At: claimed + 3}}
 	at, ok := Effective(claimed, all)
 	assert.Assert(t, ok)
 	assert.Equal(t, at, claimed+5)
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -250,7 +250,8 @@
 			confirmed(c.Clock.Now())
 			return
 		case errors.Is(err, exchange.ErrNotRunning):
-			// A process that starts now reads the claim before it gets permission.
+			// A process that starts there now gets no permission without learning of
+			// the claim.
 			confirmed(start)
 			return
 		}
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -330,7 +330,7 @@
 			c.learnLeader(l)
 		}
 		c.publish()
-		c.lease.Answered(p.ID, start)
+		c.lease.Answered(p.ID, start, a.ProofAge >= 0)
 		if a.ProofAge >= 0 {
 			c.lease.Prove(start - time.Duration(a.ProofAge)*time.Millisecond)
 		}
