e2e/soak: instances as processes under faults from outside

Signals (stop, kill, terminate, restart), a store that refuses, loses answers, forgets or is cut off from one instance, endpoints that are cut off, slow, reset or lose answers, and configurations, overlapping. Callers check acknowledged, promised and doubled writes and the freshness of each kind of read.

--- /dev/null
+++ b/e2e/soak/soak_test.go
@@ -0,0 +1,292 @@
+// Package soak runs the instances as separate processes against stand-ins of
+// the platform, injects faults from outside and checks what callers get.
+//
+//	go test ./e2e/soak                                   a short run
+//	VH_SOAK_SEEDS=50 VH_SOAK_FROM=100 go test ./e2e/soak -timeout 30m
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillahinge/vanillahinge/platform/standin"
+	"github.com/vanillahinge/vanillahinge/standin/link"
+)
+
+const (
+	instances = 3
+	clients   = 6
+	// faultTime is followed by a calm in which all must be served again.
+	faultTime = 8 * time.Second
+	calmTime  = 5 * time.Second
+	staleness = 1500 * time.Millisecond
+)
+
+// failed are seeds that showed a fault once; they are played in each run.
+var failed = []uint64{}
+
+func setting(name string, def int) int {
+	if v, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return v
+	}
+	return def
+}
+
+func TestSoak(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "vanillahinge-edge")
+	build := exec.Command("go", "build", "-o", bin, "github.com/vanillahinge/vanillahinge/cmd/vanillahinge-edge")
+	out, err := build.CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	seeds := append([]uint64(nil), failed...)
+	for i := range setting("VH_SOAK_SEEDS", 1) {
+		seeds = append(seeds, uint64(setting("VH_SOAK_FROM", 1)+i))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, bin, seed) })
+	}
+}
+
+type instance struct {
+	name     string
+	settings string
+	caller   string
+	log      *os.File
+	store    *link.Link
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+type world struct {
+	t         *testing.T
+	bin       string
+	rnd       *rand.Rand
+	store     *standin.Store
+	endpoints []*standin.Endpoint
+	links     []*link.Link
+	instances []*instance
+	config    map[string]any
+	version   int
+
+	mu     sync.Mutex
+	faults []string
+	events []string
+}
+
+func (w *world) note(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events = append(w.events, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+func (w *world) violation(format string, args ...any) {
+	w.note("VIOLATION "+format, args...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func play(t *testing.T, bin string, seed uint64) {
+	w := &world{t: t, bin: bin, rnd: rand.New(rand.NewPCG(seed, 0)), store: standin.NewStore()}
+	g, endpoints, err := standin.NewGroup(w.store, "bookings", []string{"z1", "z2", "z3"})
+	assert.NilError(t, err)
+	w.endpoints = endpoints
+	for _, e := range endpoints {
+		k, err := link.Start("", e.Addr, 0)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = k.Close() })
+		e.Addr = k.Addr()
+		e.List()
+		w.links = append(w.links, k)
+	}
+	storeSrv, promoter := httptest.NewServer(w.store), httptest.NewServer(g.Promoter())
+	t.Cleanup(func() { storeSrv.CloseClientConnections(); promoter.Close() })
+	w.publish()
+	dir := t.TempDir()
+	for i := range instances {
+		w.prepare(dir, i, strings.TrimPrefix(storeSrv.URL, "http://"), strings.TrimPrefix(promoter.URL, "http://"), seed)
+	}
+	for _, in := range w.instances {
+		w.start(in)
+		t.Cleanup(func() { w.end(in, syscall.SIGKILL) })
+	}
+	time.Sleep(time.Second)
+
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var all []*caller
+	for i := range clients {
+		c := &caller{w: w, item: fmt.Sprintf("item%d", i), rnd: rand.New(rand.NewPCG(seed, uint64(i+1))), state: map[int]outcome{}}
+		all = append(all, c)
+		wg.Go(func() { c.run(stop) })
+	}
+	end := time.Now().Add(faultTime)
+	var heal sync.WaitGroup
+	for time.Now().Before(end) {
+		w.fault(&heal)
+		time.Sleep(time.Duration(200+w.rnd.IntN(600)) * time.Millisecond)
+	}
+	heal.Wait()
+	w.note("calm")
+	time.Sleep(calmTime - time.Second)
+	for _, c := range all {
+		c.calm.Store(true)
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	wg.Wait()
+
+	var leader *standin.Endpoint
+	for _, e := range endpoints {
+		if e.Leads() {
+			leader = e
+		}
+	}
+	if leader == nil {
+		w.violation("no primary at the end")
+	} else {
+		for _, c := range all {
+			c.check(leader)
+		}
+	}
+	for _, f := range g.Faults() {
+		w.violation("%s", f)
+	}
+	if len(w.faults) > 0 {
+		keep := filepath.Join(os.TempDir(), fmt.Sprintf("vanillahinge-soak-%d", seed))
+		assert.NilError(t, os.MkdirAll(keep, 0o755))
+		for _, in := range w.instances {
+			raw, err := os.ReadFile(in.log.Name())
+			assert.NilError(t, err)
+			assert.NilError(t, os.WriteFile(filepath.Join(keep, in.name+".log"), raw, 0o644))
+		}
+		assert.NilError(t, os.WriteFile(filepath.Join(keep, "events.log"), []byte(strings.Join(w.events, "\n")+"\n"), 0o644))
+		t.Fatalf("seed %d, logs in %s:\n%s", seed, keep, strings.Join(w.faults, "\n"))
+	}
+}
+
+func (w *world) publish() {
+	w.version++
+	route := func(name, kind string) map[string]any {
+		return map[string]any{"name": name, "host": name, "type": kind, "service": "bookings", "timeout_ms": 1000 + w.version,
+			"goal_ms": 400, "prio": 1, "max_staleness_ms": staleness.Milliseconds()}
+	}
+	w.store.Put("op", "config", map[string]any{"version": w.version,
+		"routes":   []any{route("latest", "primary"), route("bounded", "bounded_staleness"), route("own", "read_your_writes")},
+		"services": []any{map[string]any{"name": "bookings", "max_conns": 40, "sync_replicas": 0}},
+		"limits":   map[string]any{"tx_idle_ms": 2000},
+		"tenants":  []any{map[string]any{"name": "acme", "api_keys": []string{"k"}, "rate_per_s": 5000, "burst": 5000}}})
+}
+
+func (w *world) prepare(dir string, i int, store, promoter string, seed uint64) {
+	k, err := link.Start("", store, 0)
+	assert.NilError(w.t, err)
+	w.t.Cleanup(func() { _ = k.Close() })
+	port := 21000 + (os.Getpid()*31+int(seed)*instances*4+i*4)%9000
+	in := &instance{name: fmt.Sprintf("edge-%d", i), caller: fmt.Sprintf("127.0.0.1:%d", port+2), store: k,
+		settings: filepath.Join(dir, fmt.Sprintf("edge-%d.json", i))}
+	raw, err := json.Marshal(map[string]any{"node_name": in.name, "ip": "127.0.0.1", "zone": fmt.Sprintf("z%d", i+1),
+		"listen":         map[string]any{"front": in.caller, "ready": fmt.Sprintf("127.0.0.1:%d", port+3)},
+		"internal_ports": []int{port, port + 1}, "bounds": map[string]any{"grace_s": 3, "quota_window_s": 5,
+			"quota_overshoot": 0.1, "quota_slack": 20, "config_apply_ms": 3000},
+		"platform": map[string]any{"addr": k.Addr()}, "cloud": map[string]any{"addr": promoter}})
+	assert.NilError(w.t, err)
+	assert.NilError(w.t, os.WriteFile(in.settings, raw, 0o600))
+	in.log, err = os.Create(filepath.Join(dir, in.name+".log"))
+	assert.NilError(w.t, err)
+	w.instances = append(w.instances, in)
+}
+
+func (w *world) start(in *instance) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.cmd = exec.Command(w.bin, "--settings", in.settings)
+	in.cmd.Stdout, in.cmd.Stderr = in.log, in.log
+	if err := in.cmd.Start(); err != nil {
+		w.violation("start %s: %v", in.name, err)
+	}
+}
+
+// end signals an instance's process and waits for its end.
+func (w *world) end(in *instance, sig syscall.Signal) {
+	in.mu.Lock()
+	cmd := in.cmd
+	in.cmd = nil
+	in.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(sig)
+	_ = cmd.Wait() // a killed process reports its signal
+}
+
+func (w *world) signal(in *instance, sig syscall.Signal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.cmd != nil {
+		_ = in.cmd.Process.Signal(sig)
+	}
+}
+
+// fault begins a random fault and ends it later.
+func (w *world) fault(heal *sync.WaitGroup) {
+	in, e := w.instances[w.rnd.IntN(instances)], w.rnd.IntN(len(w.endpoints))
+	wait := time.Duration(300+w.rnd.IntN(2500)) * time.Millisecond
+	later := func(f func()) { heal.Go(func() { time.Sleep(wait); f() }) }
+	kind := w.rnd.IntN(12)
+	w.note("fault %d: %s, endpoint %d, for %v", kind, in.name, e, wait)
+	switch kind {
+	case 0:
+		w.signal(in, syscall.SIGSTOP)
+		later(func() { w.signal(in, syscall.SIGCONT) })
+	case 1, 2:
+		sig := syscall.SIGKILL
+		if kind == 2 {
+			sig = syscall.SIGTERM
+		}
+		heal.Go(func() {
+			w.signal(in, syscall.SIGCONT)
+			w.end(in, sig)
+			time.Sleep(wait / 2)
+			w.start(in)
+		})
+	case 3:
+		w.store.Refuse(503)
+		later(func() { w.store.Refuse(0) })
+	case 4:
+		in.store.SetCut(true)
+		later(func() { in.store.SetCut(false) })
+	case 5:
+		w.store.LoseAnswers(2)
+	case 6:
+		w.store.Compact()
+	case 7:
+		// Cut off from the instances, and from what the others decide.
+		w.endpoints[e].Stuck(true)
+		w.links[e].SetCut(true)
+		later(func() { w.links[e].SetCut(false); time.Sleep(wait / 2); w.endpoints[e].Stuck(false) })
+	case 8:
+		w.links[e].SetDelay(30 * time.Millisecond)
+		later(func() { w.links[e].SetDelay(0) })
+	case 9:
+		w.links[e].Reset()
+		w.endpoints[e].LoseAnswers(2)
+	case 10:
+		w.endpoints[e].Shed(5)
+	case 11:
+		w.publish()
+	}
+}
