control: fewer and smaller calls between many instances

Now an instance calls about nine a second besides the readers, and an answer holds only records that are ahead of the table. Two failed calls in a row end 'heard'.

--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -100,6 +100,9 @@
 type group struct {
 	record  catalog.Leadership
 	changed time.Duration
+	// announced says that the record was settled by its holder's word, ahead of
+	// the table.
+	announced bool
 	// confirmed is the version of the newest record for which this instance has
 	// stopped using earlier primaries.
 	confirmed uint64
@@ -114,6 +117,7 @@
 	catalog.Member
 	client     *exchange.Peer
 	heard      time.Duration
+	failures   int // in a row
 	notRunning bool
 	// serving is true until the instance says otherwise.
 	serving bool
@@ -358,6 +362,7 @@
 	if l.Version < old.Version || l.Version == old.Version && (old.Settled || !l.Settled) {
 		return
 	}
+	g.announced = l.Version == old.Version
 	g.record, g.changed = l, c.Clock.Now()
 	c.Log.Info("control: record of a primary", "group", string(l.Group), "version", l.Version, "term", uint64(l.Term),
 		"primary", string(l.Primary), "former", string(l.Former), "settled", l.Settled, "holder", string(l.Holder))
@@ -521,15 +526,12 @@
 	return s, c.last[record.Primary].Addr
 }
 
-// running returns what is known of the members.
+// running returns what is known of the members. An answer shows for two periods
+// that an instance is reached, unless two calls have failed since.
 func (c *Control) running(now time.Duration) []share.Member {
 	out := []share.Member{{ID: c.Self.ID, Running: true, Heard: true, Serving: !c.leaving}}
 	for _, p := range c.peers {
-		out = append(out, share.Member{ID: p.ID, Running: !p.notRunning, Serving: p.serving, Heard: p.heard > 0 && now < p.heard+heardFor})
+		out = append(out, share.Member{ID: p.ID, Running: !p.notRunning, Serving: p.serving, Heard: p.heard > 0 && now < p.heard+2*c.period()+exchangeTimeout})
 	}
 	return out
 }
-
-// heardFor is how long an answer shows that an instance is reached; one call
-// may be missed.
-const heardFor = 2*exchangePeriod + exchangeTimeout
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -261,6 +261,15 @@
 	storeLate = ownWait + exchangeHurry + 400*time.Millisecond
 )
 
+// period is the time between calls to an instance that is not a reader. It grows
+// with the fleet, so that an instance makes about the same number of calls.
+func (c *Control) period() time.Duration {
+	return exchangePeriod * time.Duration(1+len(c.members)/membersPerPeriod)
+}
+
+// membersPerPeriod is how many members an instance calls a second.
+const membersPerPeriod = 9
+
 // exchangeLoop calls the other instances.
 func (c *Control) exchangeLoop(ctx context.Context) {
 	for round := 0; ; round++ {
@@ -269,7 +278,7 @@
 		if c.do(ctx, func() {
 			now := c.Clock.Now()
 			at, ok := c.lease.Proof()
-			all := round%int(exchangePeriod/exchangeHurry) == 0 || !ok || now > at+storeLate
+			all := round%int(c.period()/exchangeHurry) == 0 || !ok || now > at+storeLate
 			near := c.readers(now)
 			u = exchange.Update{From: c.Self.ID, Tables: c.tableStates(), Serving: c.serving()}
 			for _, p := range c.peers {
@@ -306,6 +315,9 @@
 	a, err := p.client.Update(call, u)
 	if err != nil {
 		_ = c.do(ctx, func() {
+			if p.failures++; p.failures > 1 {
+				p.heard = 0
+			}
 			if refused := errors.Is(err, exchange.ErrNotRunning); refused != p.notRunning {
 				p.notRunning = refused
 				c.Log.Info("control: instance not running", "peer", string(p.ID), "not_running", refused)
@@ -317,7 +329,7 @@
 	}
 	_ = c.do(ctx, func() {
 		news := p.heard == 0 || p.notRunning || p.serving != a.Serving
-		p.heard, p.notRunning, p.serving = start, false, a.Serving
+		p.heard, p.failures, p.notRunning, p.serving = start, 0, false, a.Serving
 		if news {
 			c.place()
 		}
@@ -365,7 +377,8 @@
 			}
 		}
 		for _, g := range c.groups {
-			if g.record.Version > 0 {
+			row := c.tables[c.Names.Own].rows[leaderPrefix+string(g.record.Group)]
+			if g.record.Version > 0 && (g.announced || row.Version != g.record.Version) {
 				a.Leaders = append(a.Leaders, g.record)
 			}
 		}
