--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -78,7 +78,6 @@
 	endpoints []*standin.Endpoint
 	links     []*link.Link
 	instances []*instance
-	config    map[string]any
 	version   int
 
 	mu     sync.Mutex
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -47,8 +47,10 @@
 	ctx, cancel := context.WithTimeout(ctx, takeover.HolderLimit+settleLimit)
 	defer cancel()
 	defer func() {
-		// The state must become free even when ctx has ended.
-		c.mailbox <- func() { c.group(old.Group).changing = false }
+		// The group must become free even when ctx has ended.
+		if c.do(c.ctx, func() { c.group(old.Group).changing = false }) != nil {
+			return // the instance has stopped
+		}
 	}()
 	if cause == takeover.Unreachable {
 		if !c.agreed(ctx, old, addr) {
@@ -295,7 +297,7 @@
 	c := ch.c
 	var replicas []catalog.Endpoint
 	var former catalog.Endpoint
-	sync1 := 0
+	syncReplicas := 0
 	if c.do(ctx, func() {
 		for _, e := range c.listed {
 			if e.Group == ch.old.Group && e.ID != ch.record.Former {
@@ -303,12 +305,12 @@
 			}
 		}
 		former = c.last[ch.record.Former]
-		sync1 = c.catalog.Groups[ch.old.Group].SyncReplicas
+		syncReplicas = c.catalog.Groups[ch.old.Group].SyncReplicas
 	}) != nil {
 		return false
 	}
 	ask := stmt.Statement{Kind: stmt.Status}
-	if sync1 > 0 {
+	if syncReplicas > 0 {
 		// Stopped replicas confirm no more commits of the old primary.
 		ask = stmt.Statement{Kind: stmt.Pause, Term: ch.record.Term}
 	}
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -379,7 +379,9 @@
 	c.publish()
 	go func() {
 		c.Pool.Stop(l.Group, wait, l.Version)
-		c.mailbox <- func() { c.confirm(g, l.Version) }
+		if c.do(c.ctx, func() { c.confirm(g, l.Version) }) != nil {
+			return // the instance has stopped
+		}
 	}()
 }
 
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -73,7 +73,8 @@
 	a.running = true
 	l.mu.Unlock()
 	if start {
-		l.askHome(account, a)
+		// The caller must not have to serve those that come after it.
+		go l.askHome(account, a)
 	}
 	return <-answer
 }
--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -194,7 +194,7 @@
 		if c == nil {
 			return refusal
 		}
-		a, sent, err := s.run1(c, q, floor, o, writes)
+		a, sent, err := s.runSingle(c, q, floor, o, writes)
 		if err == nil && a.Code == stmt.OK {
 			if a.Signature == "" {
 				err = fmt.Errorf("%w: success without a signature", stmt.ErrLost)
@@ -252,10 +252,15 @@
 	return a.Code.String()
 }
 
-// lost logs a statement whose answer did not come.
-func (s *session) lost(q stmt.Statement, c *pool.Conn, err error) {
+// lost logs a statement whose answer did not come. It reports whether the
+// statement may have reached the endpoint.
+func (s *session) lost(q stmt.Statement, c *pool.Conn, err error) bool {
+	if errors.Is(err, errNotPermitted) {
+		return false
+	}
 	s.e.Log.Info("session: no answer", "id", q.ID, "database", s.database, "endpoint", string(c.Endpoint()), "primary", c.Primary,
 		"primary_replaced", c.Stopped(), "error", err.Error())
+	return true
 }
 
 // served counts an operation's statement that was answered.
@@ -268,9 +273,9 @@
 	}
 }
 
-// run1 runs one statement outside a transaction on a connection. Sent reports
+// runSingle runs one statement outside a transaction on a connection. Sent reports
 // whether the statement may have reached the endpoint.
-func (s *session) run1(c *pool.Conn, q stmt.Statement, floor fleet.Floor, o *offer, writes bool) (a stmt.Answer, sent bool, err error) {
+func (s *session) runSingle(c *pool.Conn, q stmt.Statement, floor fleet.Floor, o *offer, writes bool) (a stmt.Answer, sent bool, err error) {
 	if need := s.setUp(c, q, false); len(need) > 0 {
 		if a, err := s.exchange(c, o.deadline, need...); err != nil || a.Code != stmt.OK {
 			return stmt.Answer{}, false, orRefused(a, err)
@@ -284,8 +289,7 @@
 	}
 	a, err = s.exchange(c, deadline, s.forEndpoint(c, q, floor))
 	if err != nil {
-		s.lost(q, c, err)
-		return stmt.Answer{}, !errors.Is(err, errNotPermitted), err
+		return stmt.Answer{}, s.lost(q, c, err), err
 	}
 	s.e.Pool.Finish(c, a, o.work)
 	if a.Code == stmt.UnknownName && q.Kind == stmt.Execute {
@@ -419,8 +423,7 @@
 	}
 	a, err = s.exchange(c, o.deadline, s.forEndpoint(c, q, fleet.Floor{}))
 	if err != nil {
-		s.lost(q, c, err)
-		return stmt.Answer{}, !errors.Is(err, errNotPermitted), err
+		return stmt.Answer{}, s.lost(q, c, err), err
 	}
 	s.e.Pool.Finish(c, a, o.work)
 	if a.Code == stmt.UnknownName && q.Kind == stmt.Execute {
