core/takeover: a change whose holder's process is gone is taken over at once

Ruled out: the store (regained at 13.5). Now the restarted holder, and everybody who finds its port closed, claims again.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -34,11 +34,8 @@
 	// once a second, and a slow answer takes up to half a second more.
 	Duration = 2500 * time.Millisecond
 	// MajorityLimit bounds how long majority proofs replace proofs from the
-	// store. A silent member is removed from the store only after
-	// MemberExpiry, so a majority cannot shrink unseen meanwhile.
+	// store, since the list of members may change unseen meanwhile.
 	MajorityLimit = 30 * time.Second
-	// MemberExpiry is the silence after which a member may be removed.
-	MemberExpiry = MajorityLimit + 10*time.Second
 )
 
 // Lease holds the proofs of one instance.
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -155,6 +155,10 @@
 	Record catalog.Leadership
 	// Changed is when this instance learned the record.
 	Changed time.Duration
+	// HolderGone says that the process which claimed an unsettled change no
+	// longer runs: it was this instance's before its restart, or its port refuses
+	// connections.
+	HolderGone bool
 	// Listed says that the primary is in the platform's list; Missing since
 	// when it is not.
 	Listed  bool
@@ -188,7 +192,11 @@
 	delay := time.Duration(s.Rank) * stagger
 	switch {
 	case !s.Record.Settled:
-		if s.Now >= s.Changed+Abandoned+delay {
+		wait := Abandoned
+		if s.HolderGone {
+			wait = 0
+		}
+		if s.Now >= s.Changed+wait+delay {
 			return Unsettled
 		}
 	case s.Candidates == 0:
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -77,6 +77,7 @@
 		{"lapsed entry", with(func(s *Situation) { s.Listed, s.Missing = false, s.Now-MissingGrace/2 }), None},
 		{"gone", with(func(s *Situation) { s.Listed, s.Missing = false, s.Now-MissingGrace }), Gone},
 		{"change under way", with(func(s *Situation) { s.Record.Settled, s.Changed, s.Leaving = false, s.Now-time.Second, true }), None},
+		{"holder killed", with(func(s *Situation) { s.Record.Settled, s.Changed, s.HolderGone = false, s.Now, true }), Unsettled},
 		{"abandoned", with(func(s *Situation) { s.Record.Settled, s.Changed = false, s.Now-Abandoned }), Unsettled},
 	} {
 		assert.Equal(t, Judge(c.s), c.want, c.name)
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -513,6 +513,9 @@
 		Now: now, Record: record, Changed: c.group(id).changed, Listed: listed, Leaving: e.Leaving,
 		Rank: slices.Index(fleet.Rank(string(id), members), c.Self.ID),
 	}
+	if p := c.peers[record.Holder]; record.Holder == c.Self.ID || p != nil && p.notRunning {
+		s.HolderGone = true
+	}
 	if !listed {
 		s.Missing = c.group(id).changed
 		if at, ok := c.kept[record.Primary]; ok {
