engine: a session that misses the request to stop is asked again

Found by reading: a session between its check and its read sets the read's deadline anew, so an interrupt in between is lost and the session would stay until the grace ends.

--- a/edge/engine/engine.go
+++ b/edge/engine/engine.go
@@ -14,6 +14,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -195,10 +197,7 @@
 	}
 	e.mu.Lock()
 	e.stopping.Store(true)
-	sessions := make([]*session, 0, len(e.sessions))
-	for s := range e.sessions {
-		sessions = append(sessions, s)
-	}
+	sessions := slices.Collect(maps.Keys(e.sessions))
 	e.mu.Unlock()
 	pace := min(idleSpread, within/8) / time.Duration(len(sessions)+1)
 	for _, s := range sessions {
@@ -207,11 +206,15 @@
 	}
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		n := len(e.sessions)
+		left := slices.Collect(maps.Keys(e.sessions))
 		e.mu.Unlock()
-		if n == 0 {
+		if len(left) == 0 {
 			return
 		}
+		for _, s := range left {
+			// A session that was about to wait when it was asked has missed it.
+			s.stop(half)
+		}
 		time.Sleep(stopPoll)
 	}
 }
--- a/edge/engine/session.go
+++ b/edge/engine/session.go
@@ -28,8 +28,9 @@
 	tx  *transaction
 
 	mu sync.Mutex
-	// waiting says that the session waits for a statement.
-	waiting bool
+	// waiting says that the session waits for a statement, idle that it does so
+	// outside a transaction.
+	waiting, idle bool
 	// stopAt is when the instance needs the session to end; zero if it does not.
 	stopAt time.Time
 }
@@ -59,12 +60,14 @@
 }
 
 // stop asks the session to end: at once when it waits in the idle state, after
-// its statement, or at the latest at half when a transaction is open.
+// its statement, or at the latest at half when a transaction is open. It may be
+// called again.
 func (s *session) stop(half time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	first := s.stopAt.IsZero()
 	s.stopAt = half
-	if s.waiting {
+	if s.waiting && (first || s.idle) {
 		s.caller.Interrupt()
 	}
 }
@@ -94,7 +97,7 @@
 				deadline = idle
 			}
 		}
-		s.waiting = true
+		s.waiting, s.idle = true, s.tx == nil
 		s.mu.Unlock()
 		q, err := s.caller.Statement(deadline)
 		s.mu.Lock()
