engine: one function sends a statement, inside and outside transactions

runSingle and runInTransaction were twins but for the deadline and the floor, so a fix would have been made twice.

--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -194,7 +194,11 @@
 		if c == nil {
 			return refusal
 		}
-		a, sent, err := s.runSingle(c, q, floor, o, writes)
+		deadline := o.deadline
+		if !writes {
+			deadline = o.readDeadline()
+		}
+		a, sent, err := s.send(c, q, floor, o, deadline)
 		if err == nil && a.Code == stmt.OK {
 			if a.Signature == "" {
 				err = fmt.Errorf("%w: success without a signature", stmt.ErrLost)
@@ -273,20 +277,14 @@
 	}
 }
 
-// runSingle runs one statement outside a transaction on a connection. Sent reports
+// send brings a connection up to date and runs one statement on it. Sent reports
 // whether the statement may have reached the endpoint.
-func (s *session) runSingle(c *pool.Conn, q stmt.Statement, floor fleet.Floor, o *offer, writes bool) (a stmt.Answer, sent bool, err error) {
-	if need := s.setUp(c, q, false); len(need) > 0 {
+func (s *session) send(c *pool.Conn, q stmt.Statement, floor fleet.Floor, o *offer, deadline time.Time) (a stmt.Answer, sent bool, err error) {
+	if need := s.setUp(c, q, s.tx != nil); len(need) > 0 {
 		if a, err := s.exchange(c, o.deadline, need...); err != nil || a.Code != stmt.OK {
 			return stmt.Answer{}, false, orRefused(a, err)
 		}
 	}
-	deadline := o.deadline
-	if !writes {
-		if wait := time.Now().Add(max(minReadWait, readWaitFactor*o.work.Typical())); wait.Before(deadline) {
-			deadline = wait
-		}
-	}
 	a, err = s.exchange(c, deadline, s.forEndpoint(c, q, floor))
 	if err != nil {
 		return stmt.Answer{}, s.lost(q, c, err), err
@@ -298,6 +296,14 @@
 	return a, true, nil
 }
 
+// readDeadline bounds an attempt at a read that can be repeated elsewhere.
+func (o *offer) readDeadline() time.Time {
+	if wait := time.Now().Add(max(minReadWait, readWaitFactor*o.work.Typical())); wait.Before(o.deadline) {
+		return wait
+	}
+	return o.deadline
+}
+
 // orRefused makes an error of a refusal while a connection is set up, after
 // which the connection's values are unknown.
 func orRefused(a stmt.Answer, err error) error {
@@ -362,7 +368,7 @@
 		} else {
 			s.e.Pool.Start(tx.conn)
 		}
-		a, sent, err := s.runInTransaction(q, o)
+		a, sent, err := s.send(tx.conn, q, fleet.Floor{}, o, o.deadline)
 		c := tx.conn
 		switch {
 		case err == nil && a.Code == stmt.OK && a.Signature != "":
@@ -412,22 +418,3 @@
 		}
 	}
 }
-
-// runInTransaction sends one statement on the transaction's connection.
-func (s *session) runInTransaction(q stmt.Statement, o *offer) (a stmt.Answer, sent bool, err error) {
-	c := s.tx.conn
-	if need := s.setUp(c, q, true); len(need) > 0 {
-		if a, err := s.exchange(c, o.deadline, need...); err != nil || a.Code != stmt.OK {
-			return stmt.Answer{}, false, orRefused(a, err)
-		}
-	}
-	a, err = s.exchange(c, o.deadline, s.forEndpoint(c, q, fleet.Floor{}))
-	if err != nil {
-		return stmt.Answer{}, s.lost(q, c, err), err
-	}
-	s.e.Pool.Finish(c, a, o.work)
-	if a.Code == stmt.UnknownName && q.Kind == stmt.Execute {
-		delete(c.Names, s.shapes[q.Name].text)
-	}
-	return a, true, nil
-}
