share: a new home keeps its first tokens; a home that is being called is asked

Cause: after a restart of all instances, a home knew its peers, but none had answered yet, so its bucket was clipped to its 1/36 of the burst: 1 token of 12, and refills came at 1/36 of the rate. The other instances refused by their own 1/36 until the home had answered them once.

Ruled out: homes that move (the first placement was right everywhere); the spread of the configuration (in force after 30 ms).

Now a fall of the fraction clips, the first placement does not, and a home whose first call is under way is asked for tokens. Refusals for that reason say so, and are counted as home_not_reached.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -58,7 +58,11 @@
 
 // The decisions.
 const (
+	// Refused: the account has used up its rate and burst.
 	Refused Decision = iota
+	// RefusedApart: the account's home is not reached, and this instance's part
+	// of the rate is used up.
+	RefusedApart
 	Admitted
 	// Ask: the home has to be asked for a token.
 	Ask
@@ -114,7 +118,7 @@
 		}
 		b.fill(now)
 		b.limits = a
-		b.tokens = math.Min(b.tokens, b.capacity())
+		b.tokens = math.Min(b.tokens, math.Max(1, a.Burst))
 		b.wallet = math.Min(b.wallet, b.limits.Rate*ahead.Seconds())
 		b.dry = 0
 	}
@@ -137,15 +141,20 @@
 		b.tokens = 0
 	}
 	if p == Here && p != b.place && (!b.begun || now > b.started+l.tolerance.Window) {
-		b.tokens = start(l.tolerance, b.limits)
+		b.tokens = math.Min(start(l.tolerance, b.limits), b.limits.Burst)
 		if l.firstStart && !b.placed {
 			b.tokens = b.limits.Burst
 		}
 		b.begun, b.started = true, now
 	}
+	// The first tokens of a home do not depend on who has answered it yet; only
+	// what others have come to give out by themselves is taken off.
+	clip := p == b.place && fraction < b.fraction
 	b.placed = true
 	b.place, b.fraction = p, fraction
-	b.tokens = math.Min(b.tokens, b.capacity())
+	if clip {
+		b.tokens = math.Min(b.tokens, b.capacity())
+	}
 	return left
 }
 
@@ -153,7 +162,7 @@
 func (l *Limiter) Inherit(now time.Duration, id fleet.AccountID, tokens float64) {
 	if b := l.accounts[id]; b != nil && tokens > 0 {
 		b.fill(now)
-		b.tokens = math.Min(b.capacity(), b.tokens+tokens)
+		b.tokens = math.Min(b.limits.Burst, b.tokens+tokens)
 	}
 }
 
@@ -161,7 +170,8 @@
 
 func (b *account) fill(now time.Duration) {
 	if now > b.filled {
-		b.tokens = math.Min(b.capacity(), b.tokens+b.limits.Rate*b.fraction*(now-b.filled).Seconds())
+		full := math.Max(b.tokens, b.capacity())
+		b.tokens = math.Min(full, b.tokens+b.limits.Rate*b.fraction*(now-b.filled).Seconds())
 		b.filled = now
 	}
 }
@@ -199,6 +209,9 @@
 func (b *account) take(now time.Duration) Decision {
 	b.fill(now)
 	if b.tokens < 1 {
+		if b.place == CutOff {
+			return RefusedApart
+		}
 		return Refused
 	}
 	b.tokens--
@@ -277,8 +290,9 @@
 	ID fleet.InstanceID
 	// Running is false when no process listens there.
 	Running bool
-	// Heard is true when calls to it succeed.
-	Heard bool
+	// Heard is true when calls to it succeed, Awaited while the first one since
+	// it became known has not ended.
+	Heard, Awaited bool
 	// Serving is false while it starts or leaves; it is no home then.
 	Serving bool
 }
@@ -289,7 +303,7 @@
 func Home(self fleet.InstanceID, account fleet.AccountID, members []Member) (home fleet.InstanceID, p Place, fraction float64) {
 	ids := make([]fleet.InstanceID, 0, len(members))
 	running, silent := 0, 0
-	heard := map[fleet.InstanceID]bool{}
+	reached := map[fleet.InstanceID]bool{}
 	for _, m := range members {
 		if !m.Running {
 			continue
@@ -298,7 +312,7 @@
 		if m.Serving {
 			ids = append(ids, m.ID)
 		}
-		heard[m.ID] = m.Heard
+		reached[m.ID] = m.Heard || m.Awaited
 		if !m.Heard {
 			silent++
 		}
@@ -311,7 +325,7 @@
 	switch {
 	case home == self:
 		return home, Here, 1 - float64(silent)*part
-	case !heard[home]:
+	case !reached[home]:
 		return home, CutOff, part
 	}
 	return home, Remote, part
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -539,7 +539,8 @@
 func (c *Control) running(now time.Duration) []share.Member {
 	out := []share.Member{{ID: c.Self.ID, Running: true, Heard: true, Serving: !c.leaving}}
 	for _, p := range c.peers {
-		out = append(out, share.Member{ID: p.ID, Running: !p.notRunning, Serving: p.serving, Heard: p.heard > 0 && now < p.heard+2*c.period()+exchangeTimeout})
+		out = append(out, share.Member{ID: p.ID, Running: !p.notRunning, Serving: p.serving,
+			Heard: p.heard > 0 && now < p.heard+2*c.period()+exchangeTimeout, Awaited: p.heard == 0 && p.failures == 0})
 	}
 	return out
 }
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -47,7 +47,7 @@
 
 // ask collects the operations of an account that wait for a token.
 type ask struct {
-	waiting []chan bool
+	waiting []chan share.Decision
 	running bool
 }
 
@@ -57,23 +57,19 @@
 }
 
 // Admit takes one operation of an account. It may wait for a call to another
-// instance.
-func (l *Limiter) Admit(now time.Duration, account fleet.AccountID) bool {
+// instance, and never returns share.Ask.
+func (l *Limiter) Admit(now time.Duration, account fleet.AccountID) share.Decision {
 	l.mu.Lock()
-	switch l.l.Admit(now, account) {
-	case share.Admitted:
+	if d := l.l.Admit(now, account); d != share.Ask {
 		l.mu.Unlock()
-		return true
-	case share.Refused:
-		l.mu.Unlock()
-		return false
+		return d
 	}
 	a := l.asks[account]
 	if a == nil {
 		a = &ask{}
 		l.asks[account] = a
 	}
-	answer := make(chan bool, 1)
+	answer := make(chan share.Decision, 1)
 	a.waiting = append(a.waiting, answer)
 	start := !a.running
 	a.running = true
@@ -102,7 +98,11 @@
 		if h.peer == nil {
 			// This instance has become the home meanwhile, or none is known.
 			for _, w := range waiting {
-				w <- l.l.Admit(start, account) == share.Admitted
+				d := l.l.Admit(start, account)
+				if d == share.Ask {
+					d = share.RefusedApart
+				}
+				w <- d
 			}
 			l.mu.Unlock()
 			continue
@@ -122,19 +122,24 @@
 		}
 		l.mu.Lock()
 		now := l.clock.Now()
-		admitted := 0
+		admitted, refusal := 0, share.Refused
 		if err == nil {
 			l.metrics.Count("token_calls")
 			admitted = l.l.Granted(start, now, account, got.Tokens, len(waiting), time.Duration(got.RetryMS)*time.Millisecond)
 		} else {
 			l.metrics.Count("token_calls_failed")
+			refusal = share.RefusedApart
 			for admitted < len(waiting) && l.l.Alone(now, account, h.alone) {
 				admitted++
 			}
 		}
 		l.mu.Unlock()
 		for i, w := range waiting {
-			w <- i < admitted
+			if i < admitted {
+				w <- share.Admitted
+			} else {
+				w <- refusal
+			}
 		}
 	}
 }
--- a/edge/engine/engine.go
+++ b/edge/engine/engine.go
@@ -23,6 +23,7 @@
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/placing"
+	"github.com/vanillahinge/vanillahinge/core/share"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/edge/clock"
 	"github.com/vanillahinge/vanillahinge/edge/pool"
@@ -59,8 +60,8 @@
 
 // Admission keeps client accounts within their rates.
 type Admission interface {
-	// Admit takes one operation of an account.
-	Admit(now time.Duration, account fleet.AccountID) bool
+	// Admit takes one operation of an account. It never returns share.Ask.
+	Admit(now time.Duration, account fleet.AccountID) share.Decision
 }
 
 // Engine serves the sessions of one instance.
--- a/edge/engine/session.go
+++ b/edge/engine/session.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/share"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/edge/pool"
 )
@@ -285,11 +286,15 @@
 	if code != stmt.OK {
 		return r, account, code, text
 	}
-	if !s.e.Admission.Admit(now, account) {
-		s.e.Metrics.Count(`over_rate{account="` + string(account) + `"}`)
-		return r, account, stmt.Busy, "the client account is over its rate; slow down"
+	switch s.e.Admission.Admit(now, account) {
+	case share.Admitted:
+		return r, account, stmt.OK, ""
+	case share.RefusedApart:
+		s.e.Metrics.Count(`home_not_reached{account="` + string(account) + `"}`)
+		return r, account, stmt.Busy, "the instance that keeps the client account's tokens is not reached; try again in a second"
 	}
-	return r, account, stmt.OK, ""
+	s.e.Metrics.Count(`over_rate{account="` + string(account) + `"}`)
+	return r, account, stmt.Busy, "the client account is over its rate; slow down"
 }
 
 // writes reports whether a statement writes.
