placing, engine: reads that an endpoint failed are repeated, and it is avoided

Ruled out: a limit on what is in flight there, since a caller whose statements fail would take the room of others; only the order of endpoints changes.

Now the expected time counts the smoothed share of failures, and a single read or a transaction's first read is offered elsewhere. Writes are not repeated.

--- a/core/placing/placing.go
+++ b/core/placing/placing.go
@@ -74,8 +74,11 @@
 	limit    float64
 	ceiling  int
 	slowdown float64
-	sampled  time.Duration
-	cut      time.Duration
+	// failing is the smoothed share of statements that the endpoint ran and
+	// failed.
+	failing float64
+	sampled time.Duration
+	cut     time.Duration
 }
 
 // NewLoad returns the load of an endpoint with the given number of slots, of
@@ -104,11 +107,26 @@
 	return 1.5 + (l.slowdown-1.5)*math.Exp(-math.Max(0, idle))
 }
 
+// Failed records that the endpoint ran a statement and failed. Only the order of
+// the endpoints changes: a caller whose statements fail must not take an
+// endpoint's room from the others.
+func (l *Load) Failed(now time.Duration) {
+	l.slowdown, l.failing = l.Slowdown(now), l.Failing(now)*(1-gain)+gain
+	l.sampled = now
+}
+
+// Failing returns the share of statements that fail; without news it falls as
+// the slowdown does.
+func (l *Load) Failing(now time.Duration) float64 {
+	return l.failing * math.Exp(-math.Max(0, (now-l.sampled).Seconds()/forget.Seconds()))
+}
+
 // Answered records an answer that took the given time for a statement of the
 // given typical time.
 func (l *Load) Answered(now, took, typical time.Duration) {
 	s := math.Min(float64(took)/float64(typical), 50)
 	l.slowdown = l.Slowdown(now)*(1-gain) + s*gain
+	l.failing = l.Failing(now) * (1 - gain)
 	l.sampled = now
 	switch {
 	case l.slowdown > congested && now >= l.cut+cutPause:
@@ -126,14 +144,21 @@
 		l.limit = math.Max(1, l.limit/2)
 		l.cut = now
 	}
-	l.slowdown = math.Min(20, math.Max(l.Slowdown(now)*1.3, congested))
+	l.slowdown, l.failing = math.Min(20, math.Max(l.Slowdown(now)*1.3, congested)), l.Failing(now)
 	l.sampled = now
 }
 
-// Expected returns when a statement sent now would be answered.
+// maxFailing bounds the share of failures in Expected, which then counts an
+// endpoint that fails everything as 20 times as slow.
+const maxFailing = 0.95
+
+// Expected returns when a statement sent now would be answered, counting that
+// what fails has to be repeated: an endpoint that fails at once would otherwise
+// seem the fastest and draw all statements.
 func (l *Load) Expected(now, typical, distance time.Duration, slots int) time.Duration {
 	queue := 1 + float64(l.InFlight)/float64(max(1, slots))
-	return 2*distance + time.Duration(float64(typical)*l.Slowdown(now)*queue)
+	repeats := 1 / (1 - math.Min(l.Failing(now), maxFailing))
+	return 2*distance + time.Duration(float64(typical)*l.Slowdown(now)*queue*repeats)
 }
 
 // Waiter is a statement that waits for an endpoint.
--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -268,6 +268,31 @@
 	assert.Equal(t, w.endpoints[0].Commits(), 3)
 }
 
+// A read that an endpoint failed is repeated, also as the first statement of a
+// transaction; a write is not, since it may have had an effect.
+func TestFailedStatements(t *testing.T) {
+	w := newWorld(t)
+	a, _ := w.startInstance("edge-1", true)
+	c, _ := dial(t, a, "latest", "key-acme")
+	assert.Assert(t, ok(c.do("PUT roof done")))
+	w.endpoints[0].Fail(1)
+	assert.Assert(t, ok(c.do("FETCH roof")))
+	w.endpoints[0].Fail(1)
+	assert.Assert(t, ok(c.do("BEGIN")))
+	assert.Assert(t, ok(c.do("FETCH roof")))
+	assert.Assert(t, ok(c.do("PUT roof again")))
+	assert.Assert(t, ok(c.do("COMMIT")))
+	assert.Equal(t, w.endpoints[0].Commits(), 2)
+
+	w.endpoints[0].Fail(1)
+	assert.Assert(t, strings.HasPrefix(c.do("PUT roof third"), "ERR FAILED"))
+	assert.Equal(t, w.endpoints[0].Commits(), 2)
+	assert.Assert(t, ok(c.do("BEGIN")))
+	assert.Assert(t, ok(c.do("FETCH roof")))
+	w.endpoints[0].Fail(1)
+	assert.Assert(t, strings.HasPrefix(c.do("FETCH roof"), "ERR FAILED"))
+}
+
 // The primary crashes: another one takes over, with increasing fence numbers,
 // and no write is acknowledged twice or by the old one.
 func TestPrimaryCrashes(t *testing.T) {
--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -237,6 +237,8 @@
 			if a.Code != stmt.Lagging && (o.attempt > 1 || writes || r.Freshness == catalog.Latest) {
 				pause()
 			}
+		case a.Code == stmt.Failed && !writes && o.again(s.e.Clock.Now()):
+			// A read has changed nothing; another endpoint may do better.
 		default:
 			return a
 		}
@@ -403,6 +405,10 @@
 			// Nothing of the transaction has run; it may begin elsewhere.
 			o.avoid = c.Endpoint()
 			s.detach()
+		case a.Code == stmt.Failed && first && !writes && !commit && o.again(s.e.Clock.Now()):
+			// Only a read has run; the transaction may begin elsewhere.
+			o.avoid = c.Endpoint()
+			s.detach()
 		case a.Code.NotRun():
 			s.detach()
 			tx.failed = true
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -543,6 +543,8 @@
 	switch {
 	case a.Code == stmt.Busy:
 		s.load.Refused(now)
+	case a.Code == stmt.Failed:
+		s.load.Failed(now)
 	case a.Code == stmt.OK && work != nil:
 		s.load.Answered(now, took-2*s.distance(), work.Typical())
 		work.Sample(took - 2*s.distance())
