pool: a primary that accepts connections and loses all answers is replaced

A primary that resets each connection at its first statement was reached, and its database had no writes for as long as the fault lasted.

Now three answers lost in a row over 500 ms, with none received, make it fail, and instances that are asked report the same. Lost answers count as failures in placing.

--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -313,6 +313,26 @@
 	assert.Equal(t, len(w.group.Faults()), 0)
 }
 
+// The primary accepts connections and loses each answer: another one takes over.
+// Guards against writes that are in doubt for as long as the fault lasts
+// (incident inc-ed4c).
+func TestPrimaryLosesAllAnswers(t *testing.T) {
+	w := newWorld(t)
+	a, _ := w.startInstance("edge-1", true)
+	b, _ := w.startInstance("edge-2", true)
+	ca, _ := dial(t, a, "latest", "key-acme")
+	cb, _ := dial(t, b, "latest", "key-acme")
+	assert.Assert(t, ok(ca.do("PUT roof before")))
+	assert.Assert(t, ok(cb.do("PUT roof before too")))
+	w.endpoints[0].LoseAnswers(1 << 20)
+	w.eventually(5*time.Second, func() bool {
+		one, two := ca.do("PUT roof during"), cb.do("PUT roof during")
+		return ok(one) && ok(two)
+	})
+	assert.Assert(t, !w.endpoints[0].Leads())
+	assert.Equal(t, len(w.group.Faults()), 0, "faults: %v", w.group.Faults())
+}
+
 // The primary announces its end: no acknowledged commit is lost and callers are
 // not refused.
 func TestPrimaryLeaves(t *testing.T) {
--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -264,6 +264,9 @@
 	if errors.Is(err, errNotPermitted) {
 		return false
 	}
+	if !c.Stopped() {
+		s.e.Pool.Lost(c)
+	}
 	s.e.Log.Info("session: no answer", "id", q.ID, "database", s.database, "endpoint", string(c.Endpoint()), "primary", c.Primary,
 		"primary_replaced", c.Stopped(), "error", err.Error())
 	return true
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -129,6 +129,9 @@
 	// last one succeeded.
 	failing  time.Duration
 	answered time.Duration
+	// lost counts the answers that were lost in a row, the first at lostSince.
+	lost      int
+	lostSince time.Duration
 }
 
 // room returns how many connections may be open now.
@@ -540,6 +543,7 @@
 	s := c.server
 	took := now - c.started
 	s.answer(now)
+	s.lost = 0
 	switch {
 	case a.Code == stmt.Busy:
 		s.load.Refused(now)
@@ -559,6 +563,19 @@
 	p.mu.Unlock()
 }
 
+// Lost records that the answer to a statement did not come.
+func (p *Pool) Lost(c *Conn) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	s := c.server
+	s.load.Failed(now)
+	if s.lost == 0 {
+		s.lostSince = now
+	}
+	s.lost++
+	p.mu.Unlock()
+}
+
 // Release gives a connection back. It is closed unless it may be used again by
 // another session, which needs an idle state and no missing answer.
 func (p *Pool) Release(c *Conn, reuse bool) {
--- a/edge/pool/watch.go
+++ b/edge/pool/watch.go
@@ -114,25 +114,43 @@
 	}
 }
 
-// Failing returns since when attempts to reach an endpoint fail.
+const (
+	// lostInRow and lostFor make an endpoint that accepts connections count as
+	// failing: that many answers lost, none received, over that time. An
+	// endpoint that loses a part of its answers gives some in between.
+	lostInRow = 3
+	lostFor   = 500 * time.Millisecond
+)
+
+// mute reports whether the endpoint accepts connections and answers nothing.
+func (s *server) mute(now time.Duration) bool {
+	return s.lost >= lostInRow && now >= s.lostSince+lostFor
+}
+
+// Failing returns since when an endpoint cannot be reached or answers nothing.
 func (p *Pool) Failing(id fleet.EndpointID) (since time.Duration, failing bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[id]
-	if s == nil || s.failing == 0 {
+	switch {
+	case s == nil:
 		return 0, false
+	case s.failing > 0:
+		return s.failing, true
+	case s.mute(p.clock.Now()):
+		return s.lostSince, true
 	}
-	return s.failing, true
+	return 0, false
 }
 
 // Reachable tries an endpoint for another instance, unless it has answered
-// lately.
+// lately, or answers nothing here either.
 func (p *Pool) Reachable(id fleet.EndpointID, addr string) bool {
 	now := p.clock.Now()
 	p.mu.Lock()
 	s := p.servers[id]
-	recent := s != nil && !s.down && s.failing == 0 && now < s.answered+answersDue && s.answered > 0
-	failed := s != nil && s.down && now < s.checked+answersDue
+	recent := s != nil && !s.down && s.failing == 0 && s.lost == 0 && now < s.answered+answersDue && s.answered > 0
+	failed := s != nil && (s.down && now < s.checked+answersDue || s.mute(now))
 	p.mu.Unlock()
 	return recent || !failed && p.dialer.Reach(addr) == nil
 }
