pool: losses count for 5 s, and not after the endpoint was reached again; failed reads pause at a primary

Cause: the count of lost answers had no end. A database that is used seldom would have kept its primary under suspicion after a crash that it survived.

Tried and dropped: losses that have to be spread over 500 ms.

--- a/core/placing/placing.go
+++ b/core/placing/placing.go
@@ -74,8 +74,8 @@
 	limit    float64
 	ceiling  int
 	slowdown float64
-	// failing is the smoothed share of statements that the endpoint ran and
-	// failed.
+	// failing is the smoothed share of statements that failed, or whose answer
+	// was lost.
 	failing float64
 	sampled time.Duration
 	cut     time.Duration
@@ -107,8 +107,8 @@
 	return 1.5 + (l.slowdown-1.5)*math.Exp(-math.Max(0, idle))
 }
 
-// Failed records that the endpoint ran a statement and failed. Only the order of
-// the endpoints changes: a caller whose statements fail must not take an
+// Failed records that a statement failed at the endpoint, or that its answer was
+// lost. Only the order of the endpoints changes: a caller whose statements fail must not take an
 // endpoint's room from the others.
 func (l *Load) Failed(now time.Duration) {
 	l.slowdown, l.failing = l.Slowdown(now), l.Failing(now)*(1-gain)+gain
--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -239,6 +239,9 @@
 			}
 		case a.Code == stmt.Failed && !writes && o.again(s.e.Clock.Now()):
 			// A read has changed nothing; another endpoint may do better.
+			if o.attempt > 1 || r.Freshness == catalog.Latest {
+				pause()
+			}
 		default:
 			return a
 		}
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -129,9 +129,10 @@
 	// last one succeeded.
 	failing  time.Duration
 	answered time.Duration
-	// lost counts the answers that were lost in a row, the first at lostSince.
-	lost      int
-	lostSince time.Duration
+	// lost counts the answers that were lost in a row, the first at lostSince
+	// and the last at lostLast.
+	lost                int
+	lostSince, lostLast time.Duration
 }
 
 // room returns how many connections may be open now.
@@ -573,6 +574,7 @@
 		s.lostSince = now
 	}
 	s.lost++
+	s.lostLast = now
 	p.mu.Unlock()
 }
 
--- a/edge/pool/watch.go
+++ b/edge/pool/watch.go
@@ -87,6 +87,9 @@
 	wasDown := s.down
 	if err == nil {
 		s.failing, s.down = 0, false
+		if wasDown {
+			s.lost = 0
+		}
 		s.rtt = min(s.rtt, now-start)
 		if wasDown {
 			p.log.Info("pool: endpoint reached again", "endpoint", string(s.ID))
@@ -116,15 +119,20 @@
 
 const (
 	// lostInRow and lostFor make an endpoint that accepts connections count as
-	// failing: that many answers lost, none received, over that time. An
-	// endpoint that loses a part of its answers gives some in between.
+	// failing: that many answers lost and none received since the first of them,
+	// that long ago. An endpoint that loses a part of its answers gives some in
+	// between.
 	lostInRow = 3
 	lostFor   = 500 * time.Millisecond
+	// lostFresh is how long after the last loss the endpoint still counts as
+	// failing: most instances of a fleet of 36 send a primary a statement within
+	// this time.
+	lostFresh = 5 * time.Second
 )
 
 // mute reports whether the endpoint accepts connections and answers nothing.
 func (s *server) mute(now time.Duration) bool {
-	return s.lost >= lostInRow && now >= s.lostSince+lostFor
+	return s.lost >= lostInRow && now >= s.lostSince+lostFor && now < s.lostLast+lostFresh
 }
 
 // Failing returns since when an endpoint cannot be reached or answers nothing.
