--- a/edge/engine/exec.go
+++ b/edge/engine/exec.go
@@ -407,12 +407,8 @@
 		case a.Code.NotRun() && a.Code != stmt.ReadOnly && a.State == stmt.InTransaction && o.again(s.e.Clock.Now()):
 			o.attempt++
 			pause()
-		case a.Code.NotRun() && first && !commit && o.again(s.e.Clock.Now()):
-			// Nothing of the transaction has run; it may begin elsewhere.
-			o.avoid = c.Endpoint()
-			s.detach()
-		case a.Code == stmt.Failed && first && !writes && !commit && o.again(s.e.Clock.Now()):
-			// Only a read has run; the transaction may begin elsewhere.
+		case first && !commit && (a.Code.NotRun() || a.Code == stmt.Failed && !writes) && o.again(s.e.Clock.Now()):
+			// Nothing of the transaction has run but a read; it may begin elsewhere.
 			o.avoid = c.Endpoint()
 			s.detach()
 		case a.Code.NotRun():
