control: instances follow one other instance instead of calling all

Now each instance follows one other (core/relay): two readers of the store, one relay a data centre, held calls that bring only the rows that changed, digests that notice a lost change. Presence flows back the same way. Members are decoded once, homes assigned only when something changed.

--- a/core/fleet/rank.go
+++ b/core/fleet/rank.go
@@ -16,7 +16,7 @@
 	}
 	s := make([]scored, len(ids))
 	for i, id := range ids {
-		s[i] = scored{id, xxhash.Sum64String(string(id) + "\x00" + key)}
+		s[i] = scored{id, score(key, id)}
 	}
 	slices.SortFunc(s, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
@@ -27,3 +27,44 @@
 	}
 	return ranked
 }
+
+// Place returns the position of id in the order that Rank computes, without
+// sorting. It returns len(ids) if ids lacks id.
+func Place(key string, id InstanceID, ids []InstanceID) int {
+	own := score(key, id)
+	before, found := 0, false
+	for _, other := range ids {
+		if other == id {
+			found = true
+			continue
+		}
+		if s := score(key, other); s > own || s == own && other < id {
+			before++
+		}
+	}
+	if !found {
+		return len(ids)
+	}
+	return before
+}
+
+// First returns the first of the order that Rank computes, without sorting. It
+// returns "" if ids is empty.
+func First(key string, ids []InstanceID) InstanceID {
+	var first InstanceID
+	var highest uint64
+	for i, id := range ids {
+		if s := score(key, id); i == 0 || s > highest || s == highest && id < first {
+			first, highest = id, s
+		}
+	}
+	return first
+}
+
+// score returns the rendezvous hash of an instance for a key.
+func score(key string, id InstanceID) uint64 {
+	var buf [96]byte
+	b := append(buf[:0], id...)
+	b = append(b, 0)
+	return xxhash.Sum64(append(b, key...))
+}
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -329,7 +329,7 @@
 	if len(ids) == 0 {
 		return self, HomeUnreachable, localFraction
 	}
-	home = fleet.Rank("account/"+string(account), ids)[0]
+	home = fleet.First("account/"+string(account), ids)
 	switch {
 	case home == self:
 		return home, HomeLocal, 1 - float64(unreachable)*localFraction
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/vanillahinge/vanillahinge/core/kvstore"
 	"github.com/vanillahinge/vanillahinge/core/lease"
 	"github.com/vanillahinge/vanillahinge/core/ratelimit"
+	"github.com/vanillahinge/vanillahinge/core/relay"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/core/takeover"
 	"github.com/vanillahinge/vanillahinge/edge/clock"
@@ -69,6 +70,7 @@
 	view    atomic.Pointer[view.View]
 	// storeRecovered is closed when a feed reaches the store again after a failure.
 	storeRecovered atomic.Pointer[chan struct{}]
+	repoll         atomic.Pointer[repollScope]
 
 	// ctx is cancelled when Run returns.
 	ctx context.Context
@@ -85,10 +87,33 @@
 	groups      map[fleet.GroupID]*group
 	members     map[fleet.InstanceID]catalog.Member
 	peers       map[fleet.InstanceID]*peer
-	lease       *lease.Lease
-	expiry      time.Duration
-	// leaving is set once this instance shuts down.
-	leaving bool
+	// memberRows caches the decoded member records by the key of their row.
+	memberRows map[string]memberRow
+	// order holds the members in the order of package relay.
+	order    []relay.Member
+	role     relay.Role
+	presence *relay.Presence
+	// absent holds the members that the root has not heard from.
+	absent     map[fleet.InstanceID]bool
+	absentHash uint64
+	// contact is when this instance last had contact with the root, directly or
+	// through others, if hasContact is set.
+	contact    time.Duration
+	hasContact bool
+	// changed is closed when there is news for the instances that follow this one.
+	changed chan struct{}
+	lease   *lease.Lease
+	expiry  time.Duration
+	// leaving is set once this instance shuts down; stopping is its copy for other
+	// goroutines.
+	leaving  bool
+	stopping atomic.Bool
+}
+
+// memberRow is a decoded member record.
+type memberRow struct {
+	version uint64
+	member  catalog.Member
 }
 
 // table is this instance's copy of a table.
@@ -98,11 +123,16 @@
 	// digest covers the keys and versions of the rows.
 	digest uint64
 	loaded bool
-	// requestedAt is when this instance last requested a peer's copy; 0 once a copy
-	// has arrived.
-	requestedAt time.Duration
+	// deleted holds the rows deleted since version deletionsKnownSince.
+	deleted             map[string]kvstore.Row
+	deletionsKnownSince uint64
+	// damaged is set if the copy has turned out to differ from another one.
+	damaged bool
 }
 
+// maxDeletedRows bounds the deleted rows that are kept for other instances.
+const maxDeletedRows = 1000
+
 // group is the state of one group's primary.
 type group struct {
 	record    catalog.Leadership
@@ -125,14 +155,17 @@
 type peer struct {
 	catalog.Member
 	client *peerrpc.Peer
-	// lastAnswer is the start of the last successful call; 0 if none has
-	// succeeded or the last two calls failed.
-	lastAnswer time.Duration
-	// failures counts the consecutive calls that failed.
-	failures   int
+	// Until avoidUntil the instance counts as unreachable, because a call to it
+	// failed. notRunning is set if its address refused a connection.
+	avoidUntil time.Duration
 	notRunning bool
+	// Until staleUntil another instance is preferred, because this one had no recent
+	// proof.
+	staleUntil time.Duration
 	// serving is true until the instance reports otherwise.
 	serving bool
+	// reported is the list of heard instances that this instance has told it last.
+	reported []fleet.InstanceID
 }
 
 // unlistedRetention is how long an endpoint that has left the list is still used
@@ -147,14 +180,16 @@
 		listed: map[fleet.EndpointID]catalog.Endpoint{}, unlisted: map[fleet.EndpointID]time.Duration{},
 		lastEntries: map[fleet.EndpointID]catalog.Endpoint{}, groups: map[fleet.GroupID]*group{},
 		members: map[fleet.InstanceID]catalog.Member{}, peers: map[fleet.InstanceID]*peer{}, lease: lease.New(),
+		memberRows: map[string]memberRow{}, presence: relay.NewPresence(), changed: make(chan struct{}),
 	}
 	for _, name := range []string{c.Schema.OperatorTable, c.Schema.EndpointTable, c.Schema.FleetTable} {
-		ctl.tables[name] = &table{rows: map[string]kvstore.Row{}}
+		ctl.tables[name] = &table{rows: map[string]kvstore.Row{}, deleted: map[string]kvstore.Row{}}
 	}
-	c.Limiter.onHomeNotRunning = ctl.handleHomeNotRunning
+	c.Limiter.onHomeGone = ctl.handleHomeGone
 	ctl.view.Store(&view.View{})
 	recovered := make(chan struct{})
 	ctl.storeRecovered.Store(&recovered)
+	ctl.repoll.Store(newRepollScope())
 	return ctl
 }
 
@@ -196,7 +231,8 @@
 		go c.followTable(ctx, f)
 	}
 	go c.register(ctx)
-	go c.updateLoop(ctx)
+	go c.followPeers(ctx)
+	go c.collectEvidence(ctx)
 	t := time.NewTicker(evaluationInterval)
 	defer t.Stop()
 	for {
@@ -206,6 +242,7 @@
 		case f := <-c.mailbox:
 			f()
 		case <-t.C:
+			c.updateRole(c.Clock.Now())
 			c.evaluatePrimaries(ctx)
 		}
 	}
@@ -220,6 +257,8 @@
 		t.rows[r.Key] = r
 	}
 	t.asOf, t.loaded = max(t.asOf, asOf), true
+	clear(t.deleted)
+	t.deletionsKnownSince = t.asOf
 	if !maps.EqualFunc(before, t.rows, func(a, b kvstore.Row) bool { return a.Version == b.Version }) || name != c.Schema.FleetTable {
 		c.tableChanged(name)
 	}
@@ -228,19 +267,26 @@
 // applyChanges installs changed rows, except those older than the copy's.
 func (c *Controller) applyChanges(name string, changed []kvstore.Row, asOf uint64) {
 	t := c.tables[name]
+	completeTo := t.asOf
 	t.asOf = max(t.asOf, asOf)
 	modified := false
 	for _, r := range changed {
-		if old, ok := t.rows[r.Key]; ok && old.Version > r.Version {
-			continue
+		if r.Version <= completeTo {
+			continue // the copy has it, or something newer
 		}
+		delete(t.rows, r.Key)
+		delete(t.deleted, r.Key)
 		if r.Deleted {
-			delete(t.rows, r.Key)
+			t.deleted[r.Key] = r
 		} else {
 			t.rows[r.Key] = r
 		}
 		modified = true
 	}
+	if len(t.deleted) > maxDeletedRows {
+		clear(t.deleted)
+		t.deletionsKnownSince = t.asOf
+	}
 	if modified {
 		c.tableChanged(name)
 	}
@@ -260,6 +306,7 @@
 		c.updateFleet(t)
 	}
 	c.publishView()
+	c.signalChange()
 }
 
 // updateCatalog puts a newer configuration into force.
@@ -320,10 +367,16 @@
 
 // updateFleet adopts the leadership records and members of the fleet's own table.
 func (c *Controller) updateFleet(t *table) {
-	c.members = map[fleet.InstanceID]catalog.Member{}
+	rowsBefore := c.memberRows
+	c.memberRows = make(map[string]memberRow, len(rowsBefore))
+	c.members = make(map[fleet.InstanceID]catalog.Member, len(rowsBefore))
+	membersChanged := false
 	for key, r := range t.rows {
 		switch {
 		case strings.HasPrefix(key, leaderPrefix):
+			if g := c.groups[fleet.GroupID(key[len(leaderPrefix):])]; g != nil && g.record.Version >= r.Version && !g.announced {
+				continue
+			}
 			var l catalog.Leadership
 			if err := json.Unmarshal(r.Value, &l); err != nil {
 				c.Log.Warn("control: invalid leadership record ignored", "key", key, "error", err.Error())
@@ -332,31 +385,42 @@
 			l.Version = r.Version
 			c.adoptLeadership(l)
 		case strings.HasPrefix(key, memberPrefix):
-			var m catalog.Member
-			if err := json.Unmarshal(r.Value, &m); err != nil {
-				c.Log.Warn("control: invalid member record ignored", "key", key, "error", err.Error())
-				continue
+			known, ok := rowsBefore[key]
+			if !ok || known.version != r.Version {
+				known = memberRow{version: r.Version}
+				if err := json.Unmarshal(r.Value, &known.member); err != nil {
+					c.Log.Warn("control: invalid member record ignored", "key", key, "error", err.Error())
+					continue
+				}
+				membersChanged = true
 			}
-			c.members[m.ID] = m
+			c.memberRows[key] = known
+			c.members[known.member.ID] = known.member
 		}
 	}
+	if membersChanged || len(rowsBefore) != len(c.memberRows) {
+		c.updatePeers()
+	}
+	c.renewLease()
+}
+
+// updatePeers updates what depends on the list of members.
+func (c *Controller) updatePeers() {
 	for id, p := range c.peers {
 		if m, ok := c.members[id]; !ok || m.Addr != p.Addr {
 			p.client.Close()
 			delete(c.peers, id)
 		}
 	}
+	members := make([]relay.Member, 0, len(c.members))
 	for id, m := range c.members {
+		members = append(members, relay.Member{ID: id, DataCentre: m.DataCentre})
 		if _, ok := c.peers[id]; !ok && id != c.Self.ID {
-			p := &peer{Member: m, client: peerrpc.NewPeer(m.Addr), serving: true}
-			c.peers[id] = p
-			// Call it at once: the homes of accounts are not known until the other
-			// instances have answered.
-			go c.updatePeer(c.ctx, p, &peerrpc.UpdateRequest{From: c.Self.ID, Tables: c.tableStates(), Serving: c.serving()})
+			c.peers[id] = &peer{Member: m, client: peerrpc.NewPeer(m.Addr), serving: true}
 		}
 	}
+	c.order = relay.Order(members)
 	c.assignHomes()
-	c.renewLease()
 }
 
 // groupState returns the state of a group and creates it if it is missing.
@@ -376,20 +440,22 @@
 // adoptLeadership installs a record if it is newer than the known one. Of two
 // records with the same version, the settled one is newer: the holder announces
 // the end of a change before the store has it.
-func (c *Controller) adoptLeadership(l catalog.Leadership) {
+// It reports whether it was.
+func (c *Controller) adoptLeadership(l catalog.Leadership) bool {
 	g := c.groupState(l.Group)
 	old := g.record
 	if l.Version < old.Version || l.Version == old.Version && (old.Settled || !l.Settled) {
-		return
+		return false
 	}
 	g.announced = l.Version == old.Version
 	g.record, g.learnedAt = l, c.Clock.Now()
 	c.Log.Info("control: leadership record adopted", "group", string(l.Group), "version", l.Version, "term", uint64(l.Term),
 		"primary", string(l.Primary), "former", string(l.Former), "settled", l.Settled, "holder", string(l.Holder))
 	c.Metrics.Count("leader_records")
+	c.signalChange()
 	if old.Primary == l.Primary && l.Settled {
 		c.markConfirmed(g, l.Version)
-		return
+		return true
 	}
 	wait := time.Duration(0)
 	if l.Planned && !l.Settled {
@@ -403,6 +469,7 @@
 			return // the controller has stopped
 		}
 	}()
+	return true
 }
 
 // markConfirmed records that this instance no longer uses primaries from before
@@ -535,7 +602,7 @@
 	e, listed := c.listed[record.Primary]
 	s := takeover.Observation{
 		Now: now, Record: record, RecordLearnedAt: c.groupState(id).learnedAt, Listed: listed, Leaving: e.Leaving,
-		Rank: slices.Index(fleet.Rank(string(id), members), c.Self.ID),
+		Rank: fleet.Place(string(id), c.Self.ID, members),
 	}
 	if p := c.peers[record.Holder]; record.Holder == c.Self.ID || p != nil && p.notRunning {
 		s.HolderStopped = true
@@ -555,14 +622,14 @@
 	return s, c.lastEntries[record.Primary].Addr
 }
 
-// memberStates returns the known state of the members. An instance counts as
-// reachable for two update intervals after an answer, unless two calls have failed
-// since.
+// memberStates returns the known state of the members.
 func (c *Controller) memberStates(now time.Duration) []ratelimit.Member {
-	out := []ratelimit.Member{{ID: c.Self.ID, Running: true, Reachable: true, Serving: !c.leaving}}
+	out := make([]ratelimit.Member, 0, len(c.peers)+1)
+	out = append(out, ratelimit.Member{ID: c.Self.ID, Running: true, Reachable: true, Serving: !c.leaving})
 	for _, p := range c.peers {
-		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.notRunning, Serving: p.serving,
-			Reachable: p.lastAnswer > 0 && now < p.lastAnswer+2*c.fullUpdateInterval()+peerCallTimeout, FirstCallPending: p.lastAnswer == 0 && p.failures == 0})
+		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.notRunning || now >= p.avoidUntil, Serving: p.serving && !c.absent[p.ID],
+			Reachable: now >= p.avoidUntil && !c.absent[p.ID]})
 	}
+	slices.SortFunc(out, func(a, b ratelimit.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
-	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/kvstore"
+	"github.com/vanillahinge/vanillahinge/core/relay"
 	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
 )
 
@@ -43,34 +43,37 @@
 )
 
 const (
-	// storeReaderCount is how many instances read the store's feeds. The others get
-	// the tables from them, so that the number of store calls does not grow with
-	// the fleet. With two readers, one may fail.
-	storeReaderCount = 2
 	// readerPollInterval is how often an instance checks if it has become a reader.
 	readerPollInterval = 200 * time.Millisecond
+	// feedBatchInterval is the pause after a response of a feed that brought rows, so
+	// that rows that change in quick succession travel together.
+	feedBatchInterval = 20 * time.Millisecond
+	// fallbackReaderCount is how many instances of a data centre read the store
+	// themselves when the proofs that reach them are too old.
+	fallbackReaderCount = 3
 )
 
-// readsStore reports whether this instance has to read the store itself: it is one
-// of the readers, or its last proof, usually relayed by a reader, is too old.
+// readsStore reports whether this instance has to read the store itself: it is one of
+// the readers, or the proofs that reach its data centre are too old and few instances
+// precede it there.
 func (c *Controller) readsStore(now time.Duration) bool {
-	if at, ok := c.lease.Proof(); !ok || now > at+maxRelayedProofAge {
+	if c.role.Reader {
 		return true
 	}
-	return slices.Contains(c.storeReaders(now), c.Self.ID)
-}
-
-// storeReaders returns the instances that read the store: the first ones in rank
-// order among those that this instance reaches.
-func (c *Controller) storeReaders(now time.Duration) []fleet.InstanceID {
-	var ids []fleet.InstanceID
-	for _, m := range c.memberStates(now) {
-		if m.Running && m.Reachable {
-			ids = append(ids, m.ID)
+	at, ok := c.lease.Proof()
+	if ok && now <= at+maxRelayedProofAge {
+		return false
+	}
+	preceding := 0
+	for _, m := range c.order {
+		if m.ID == c.Self.ID {
+			break
+		}
+		if m.DataCentre == c.Self.DataCentre && c.present(now, m.ID) {
+			preceding++
 		}
 	}
-	ids = fleet.Rank("readers", ids)
-	return ids[:min(storeReaderCount, len(ids))]
+	return preceding < fallbackReaderCount
 }
 
 // feed is the subscription to the changes of one table.
@@ -161,12 +164,14 @@
 					// change until then.
 					proof += f.wait - storeTimerSlack
 				}
-				c.lease.AddProof(proof)
-				c.renewLease()
+				c.addProof(proof)
 			}
 		}) != nil {
 			return
 		}
+		if len(got) > 0 && !sleep(ctx, feedBatchInterval) {
+			return
+		}
 	}
 }
 
@@ -250,180 +255,15 @@
 	}
 }
 
-const (
-	// updateInterval is the time between Update calls to a peer in a small fleet:
-	// short compared to the 3 s within which a configuration has to be in force.
-	updateInterval = time.Second
-	// fastUpdateInterval is the interval for the store readers, and for all peers
-	// while this instance has no recent proof. With fleetTableWait it keeps the age
-	// of proofs well below lease.Duration.
-	fastUpdateInterval = 500 * time.Millisecond
-	// peerCallTimeout bounds one call to another instance.
-	peerCallTimeout = 500 * time.Millisecond
-	// maxRelayedProofAge is the age of the last proof above which an instance reads
-	// the store itself. Proofs from a reader are up to fleetTableWait and
-	// fastUpdateInterval old; a read takes far less than the time left to
-	// lease.Duration.
-	maxRelayedProofAge = fleetTableWait + fastUpdateInterval + 400*time.Millisecond
-)
-
-// fullUpdateInterval returns the time between Update calls to a peer that is not a
-// store reader. It grows with the fleet, so that the rate of calls from one instance
-// stays about the same.
-func (c *Controller) fullUpdateInterval() time.Duration {
-	return updateInterval * time.Duration(1+len(c.members)/membersPerInterval)
-}
-
-// membersPerInterval is how many members an instance calls in one updateInterval.
-const membersPerInterval = 9
-
-// updateLoop sends Update calls to the other instances until ctx ends.
-func (c *Controller) updateLoop(ctx context.Context) {
-	for round := 0; ; round++ {
-		var calls []*peer
-		var req peerrpc.UpdateRequest
-		if c.runInLoop(ctx, func() {
-			now := c.Clock.Now()
-			at, ok := c.lease.Proof()
-			all := round%int(c.fullUpdateInterval()/fastUpdateInterval) == 0 || !ok || now > at+maxRelayedProofAge
-			readers := c.storeReaders(now)
-			req = peerrpc.UpdateRequest{From: c.Self.ID, Tables: c.tableStates(), Serving: c.serving()}
-			for _, p := range c.peers {
-				// A peer whose last call failed may be reachable again long
-				// before the next full interval.
-				if all || p.failures > 0 || slices.Contains(readers, p.ID) {
-					calls = append(calls, p)
-				}
-			}
-		}) != nil {
-			return
-		}
-		for _, p := range calls {
-			go c.updatePeer(ctx, p, &req)
-		}
-		if !sleep(ctx, fastUpdateInterval) {
-			return
-		}
-	}
-}
-
-// tableStates returns the state of this instance's copy of each loaded table.
-func (c *Controller) tableStates() map[string]peerrpc.TableState {
-	out := make(map[string]peerrpc.TableState, len(c.tables))
-	for name, t := range c.tables {
-		if t.loaded {
-			out[name] = peerrpc.TableState{AsOf: t.asOf, Digest: t.digest}
-		}
-	}
-	return out
-}
-
-// updatePeer sends one Update call to a peer and installs what the response brings.
-func (c *Controller) updatePeer(ctx context.Context, p *peer, req *peerrpc.UpdateRequest) {
-	start := c.Clock.Now()
-	call, cancel := context.WithTimeout(ctx, peerCallTimeout)
-	defer cancel()
-	res, err := p.client.Update(call, req)
-	if err != nil {
-		_ = c.runInLoop(ctx, func() {
-			if p.failures++; p.failures > 1 {
-				p.lastAnswer = 0
-			}
-			if refused := errors.Is(err, peerrpc.ErrNotRunning); refused != p.notRunning {
-				p.notRunning = refused
-				c.Log.Info("control: instance started or stopped refusing connections", "peer", string(p.ID), "not_running", refused)
-			}
-			c.Metrics.Count("exchange_failures")
-		})
-		p.client.Close()
-		return
-	}
-	_ = c.runInLoop(ctx, func() {
-		changed := p.lastAnswer == 0 || p.notRunning || p.serving != res.Serving
-		p.lastAnswer, p.failures, p.notRunning, p.serving = start, 0, false, res.Serving
-		if changed {
-			c.assignHomes()
-		}
-		for name, t := range res.Tables {
-			if local, ok := c.tables[name]; ok && t.AsOf > local.asOf {
-				c.replaceTable(name, t.Rows, t.AsOf)
-				local.requestedAt = 0
-			}
-		}
-		for _, name := range res.NewerTables {
-			c.fetchTable(ctx, p, name)
-		}
-		for _, l := range res.Leaders {
-			c.adoptLeadership(l)
-		}
-		c.publishView()
-		c.lease.AddPeerResponse(p.ID, start, res.ProofAgeMS >= 0)
-		if res.ProofAgeMS >= 0 {
-			c.lease.AddProof(start - time.Duration(res.ProofAgeMS)*time.Millisecond)
-		}
-		c.renewLease()
-	})
-}
-
-// fetchTable requests a peer's copy of a table, unless a request to any peer is
-// still pending: with many instances, copies from all of them would saturate slow
-// links.
-func (c *Controller) fetchTable(ctx context.Context, p *peer, name string) {
-	t, now := c.tables[name], c.Clock.Now()
-	if t == nil || t.requestedAt > 0 && now < t.requestedAt+peerCallTimeout {
-		return
-	}
-	t.requestedAt = now
-	req := peerrpc.UpdateRequest{From: c.Self.ID, Tables: c.tableStates(), RequestedTables: []string{name}, Serving: c.serving()}
-	go c.updatePeer(ctx, p, &req)
-}
-
 // serving reports whether this instance may be the home of accounts.
 func (c *Controller) serving() bool { return c.Ready() && !c.leaving }
 
-// Update serves the periodic call of another instance: it returns the age of this
-// instance's proof, the tables that are newer here and the leadership records that
-// the table does not have yet.
-func (c *Controller) Update(ctx context.Context, req *peerrpc.UpdateRequest) (*peerrpc.UpdateResponse, error) {
-	res := &peerrpc.UpdateResponse{ProofAgeMS: -1}
-	err := c.runInLoop(ctx, func() {
-		now := c.Clock.Now()
-		if at, ok := c.lease.Proof(); ok {
-			// Rounded up, so that the peer never takes the proof for younger than
-			// it is.
-			res.ProofAgeMS = (now - at).Milliseconds() + 1
-		}
-		res.Serving = c.serving()
-		if p := c.peers[req.From]; p != nil && (p.notRunning || p.serving != req.Serving) {
-			p.notRunning, p.serving = false, req.Serving
-			c.assignHomes()
-		}
-		for name, t := range c.tables {
-			if theirs := req.Tables[name]; t.loaded && t.asOf > theirs.AsOf && t.digest != theirs.Digest {
-				if name != c.Schema.FleetTable && !slices.Contains(req.RequestedTables, name) {
-					res.NewerTables = append(res.NewerTables, name)
-					continue
-				}
-				if res.Tables == nil {
-					res.Tables = map[string]peerrpc.Table{}
-				}
-				res.Tables[name] = peerrpc.Table{TableState: peerrpc.TableState{AsOf: t.asOf, Digest: t.digest},
-					Rows: slices.Collect(maps.Values(t.rows))}
-			}
-		}
-		for _, g := range c.groups {
-			row := c.tables[c.Schema.FleetTable].rows[leaderPrefix+string(g.record.Group)]
-			if g.record.Version > 0 && (g.announced || row.Version != g.record.Version) {
-				res.Leaders = append(res.Leaders, g.record)
-			}
-		}
-	})
-	return res, err
-}
-
 // Grant serves the call of another instance for tokens of a client account whose
 // home is this instance.
 func (c *Controller) Grant(_ context.Context, req *peerrpc.GrantRequest) (*peerrpc.GrantResponse, error) {
+	if c.stopping.Load() {
+		return &peerrpc.GrantResponse{Moved: true}, nil
+	}
 	n, retry, ok := c.Limiter.Grant(req.Account, req.RequestedTokens)
 	if !ok {
 		return nil, fmt.Errorf("control: the limits of account %q are not known here; ask again after the next exchange", req.Account)
@@ -449,13 +289,12 @@
 func (c *Controller) HandOffAccounts(ctx context.Context) {
 	if c.runInLoop(ctx, func() {
 		c.leaving = true
+		c.stopping.Store(true)
 		c.assignHomes()
 	}) != nil {
 		return
 	}
-	for _, p := range c.peerList(ctx) {
-		c.sendLeave(p, &peerrpc.LeaveRequest{From: c.Self.ID, Leaving: true})
-	}
+	c.repollNow()
 }
 
 // sendLeave sends a Leave call without waiting for the response.
@@ -476,18 +315,19 @@
 		return
 	}
 	now := c.Clock.Now()
-	for p, tokens := range c.Limiter.assignHomes(now, c.Self.ID, c.memberStates(now), c.peers) {
+	inContact := c.hasContact && now < c.contact+relay.ContactFor
+	for p, tokens := range c.Limiter.assignHomes(now, c.Self.ID, inContact, c.memberStates(now), c.peers) {
 		c.sendLeave(p, &peerrpc.LeaveRequest{From: c.Self.ID, Leaving: c.leaving, Tokens: tokens})
 	}
 }
 
-// handleHomeNotRunning records that no process runs at the address of a home and
-// assigns the homes again.
-func (c *Controller) handleHomeNotRunning(p *peer) {
+// handleHomeGone records that a home does not run or is leaving, and assigns the
+// homes again.
+func (c *Controller) handleHomeGone(p *peer, leaving bool) {
 	call, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
 	if c.runInLoop(call, func() {
-		p.notRunning = true
+		p.avoidUntil, p.notRunning = c.Clock.Now()+avoidAfterRefusal, !leaving
 		c.assignHomes()
 	}) != nil {
 		c.Metrics.Count("control_busy")
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,15 +32,19 @@
 	clock   *clock.Clock
 	metrics *telemetry.Metrics
 
-	// onHomeNotRunning is called when no process runs at a home, so that the next
-	// home is assigned at once.
-	onHomeNotRunning func(p *peer)
+	// onHomeGone is called when no process runs at a home, or the home is leaving, so
+	// that the next home is assigned at once.
+	onHomeGone func(p *peer, leaving bool)
 
 	mu      sync.Mutex
 	buckets *ratelimit.Limiter
 	// homes and requests are by client account.
 	homes    map[fleet.AccountID]accountHome
 	requests map[fleet.AccountID]*tokenRequest
+	// members, inContact and accountsChanged tell whether the homes have to be
+	// assigned again.
+	members                    []ratelimit.Member
+	inContact, accountsChanged bool
 }
 
 type accountHome struct {
@@ -122,8 +127,8 @@
 		l.mu.Unlock()
 
 		got, err := requestGrant(h.peer, &peerrpc.GrantRequest{Account: account, RequestedTokens: want})
-		if errors.Is(err, peerrpc.ErrNotRunning) {
-			l.onHomeNotRunning(h.peer)
+		if leaving := err == nil && got.Moved; leaving || errors.Is(err, peerrpc.ErrNotRunning) {
+			l.onHomeGone(h.peer, leaving)
 			if l.homePeer(account) != h.peer {
 				l.mu.Lock()
 				r.waiting = append(waiting, r.waiting...)
@@ -140,6 +145,7 @@
 		} else {
 			l.metrics.Count("token_calls_failed")
 			refusal = ratelimit.RefusedHomeUnreachable
+			l.accountsChanged = true // the account counts as without a home until the homes are assigned again
 			for admitted < len(waiting) && l.buckets.AdmitWithoutHome(now, account, h.fallbackFraction) {
 				admitted++
 			}
@@ -196,16 +202,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.buckets.SetAccounts(now, accounts)
+	l.accountsChanged = true
 }
 
 // assignHomes assigns a home to each client account. It returns the tokens to hand
-// on to the new homes of accounts whose home was this instance.
-func (l *Limiter) assignHomes(now time.Duration, self fleet.InstanceID, members []ratelimit.Member, peers map[fleet.InstanceID]*peer) map[*peer]map[fleet.AccountID]float64 {
+// on to the new homes of accounts whose home was this instance. inContact is false if
+// the other instances may take this one for absent; it is no home then.
+func (l *Limiter) assignHomes(now time.Duration, self fleet.InstanceID, inContact bool, members []ratelimit.Member, peers map[fleet.InstanceID]*peer) map[*peer]map[fleet.AccountID]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if inContact == l.inContact && !l.accountsChanged && slices.Equal(members, l.members) {
+		return nil
+	}
+	l.inContact, l.accountsChanged, l.members = inContact, false, members
 	var handOff map[*peer]map[fleet.AccountID]float64
 	for _, id := range l.buckets.Accounts() {
 		home, state, fraction := ratelimit.LocateHome(self, id, members)
+		if state == ratelimit.HomeLocal && !inContact {
+			state, fraction = ratelimit.HomeUnreachable, 1/float64(max(1, len(members)))
+		}
 		next := peers[home]
 		if n := l.buckets.SetHome(now, id, state, fraction); n >= 1 && next != nil {
 			if handOff == nil {
--- /dev/null
+++ b/edge/control/watch.go
@@ -0,0 +1,456 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/kvstore"
+	"github.com/vanillahinge/vanillahinge/core/relay"
+	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
+)
+
+const (
+	// watchSlack is added to the hold of a Watch call for its timeout: several round
+	// trips between data centres, or one lost packet.
+	watchSlack = 300 * time.Millisecond
+	// peerCallTimeout bounds one short call to another instance.
+	peerCallTimeout = 500 * time.Millisecond
+	// watchBatchInterval is the least time between two Watch calls to the same
+	// instance, so that changes that come in quick succession travel together.
+	watchBatchInterval = 40 * time.Millisecond
+	// avoidAfterFailure is how long an instance is avoided after a call to it failed.
+	avoidAfterFailure = time.Second
+	// avoidAfterRefusal is how long an instance is avoided after its address refused a
+	// connection or it said that it is leaving; a process takes longer to restart.
+	avoidAfterRefusal = 1500 * time.Millisecond
+	// freshProofAge is the age of a proof up to which nothing is wrong with the
+	// distribution of proofs: a reader renews its proof once in fleetTableWait.
+	freshProofAge = fleetTableWait + 300*time.Millisecond
+	// proofGain is by how much the proof of another instance must be newer for it to
+	// answer at once.
+	proofGain = 200 * time.Millisecond
+	// maxRelayedProofAge is the age of the last proof above which an instance reads
+	// the store itself or asks all others. A read takes far less than the time left
+	// to lease.Duration.
+	maxRelayedProofAge = fleetTableWait + 900*time.Millisecond
+	// evidenceInterval is the time between the calls to all other instances while the
+	// store proves nothing.
+	evidenceInterval = 500 * time.Millisecond
+)
+
+// followPeers keeps this instance up to date from the instance that it follows.
+func (c *Controller) followPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		var p *peer
+		var req peerrpc.WatchRequest
+		if c.runInLoop(ctx, func() {
+			now := c.Clock.Now()
+			c.updateRole(now)
+			for _, id := range c.role.Sources {
+				// A source whose proof is old is passed over while another one may
+				// have a newer proof.
+				if s := c.peers[id]; s != nil && (p == nil || now < p.staleUntil && now >= s.staleUntil) {
+					p = s
+				}
+			}
+			if p != nil {
+				req = c.watchRequest(now, p, relay.MaxHold)
+			}
+		}) != nil {
+			return
+		}
+		start := c.Clock.Now()
+		if p == nil {
+			if !sleep(ctx, readerPollInterval) {
+				return
+			}
+			continue
+		}
+		c.watch(ctx, p, &req)
+		if rest := watchBatchInterval - (c.Clock.Now() - start); rest > 0 && !sleep(ctx, rest) {
+			return
+		}
+	}
+}
+
+// updateRole determines whom this instance follows and whether it is the root.
+func (c *Controller) updateRole(now time.Duration) {
+	self := relay.Member{ID: c.Self.ID, DataCentre: c.Self.DataCentre}
+	c.role = relay.RoleOf(self, c.order, func(id fleet.InstanceID) bool { return c.present(now, id) })
+	c.presence.SetRoot(now, c.role.Root)
+	if !c.role.Root {
+		return
+	}
+	if relay.Quorum(len(c.presence.Heard(now))+1, len(c.members)) {
+		c.contact, c.hasContact = now, true
+	}
+	if absent, ok := c.presence.Absent(now, c.Self.ID, c.order); ok {
+		c.setAbsent(absent)
+	}
+}
+
+// present reports whether another instance seems to run and answer.
+func (c *Controller) present(now time.Duration, id fleet.InstanceID) bool {
+	p := c.peers[id]
+	return p != nil && now >= p.avoidUntil && !c.absent[id]
+}
+
+// setAbsent installs the list of absent instances.
+func (c *Controller) setAbsent(absent []fleet.InstanceID) {
+	h := xxhash.New()
+	for _, id := range absent {
+		_, _ = h.WriteString(string(id) + "\x00")
+	}
+	if sum := h.Sum64(); sum != c.absentHash {
+		c.absentHash = sum
+		c.absent = make(map[fleet.InstanceID]bool, len(absent))
+		for _, id := range absent {
+			c.absent[id] = true
+		}
+		c.Log.Info("control: absent instances", "count", len(absent), "instances", absent)
+		c.assignHomes()
+		c.signalChange()
+	}
+}
+
+// signalChange makes the held Watch calls of other instances look for news.
+func (c *Controller) signalChange() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// watchRequest returns a request to a peer.
+func (c *Controller) watchRequest(now time.Duration, p *peer, hold time.Duration) peerrpc.WatchRequest {
+	req := peerrpc.WatchRequest{From: c.Self.ID, Tables: c.tableStates(), ProofAgeMS: -1, HoldMS: hold.Milliseconds(),
+		Serving: c.serving(), AbsentHash: c.absentHash}
+	if at, ok := c.lease.Proof(); ok {
+		req.ProofAgeMS = (now - at).Milliseconds() + 1
+	}
+	for _, g := range c.announcedLeaders() {
+		if req.Announced == nil {
+			req.Announced = map[fleet.GroupID]uint64{}
+		}
+		req.Announced[g.Group] = announcedVersion(g)
+	}
+	if heard := c.presence.Heard(now); p.reported == nil || !slices.Equal(heard, p.reported) {
+		req.Heard = heard
+	}
+	return req
+}
+
+// announcedVersion orders the records of a group: of two with the same version the
+// settled one is newer.
+func announcedVersion(l catalog.Leadership) uint64 {
+	v := l.Version << 1
+	if l.Settled {
+		v++
+	}
+	return v
+}
+
+// announcedLeaders returns the leadership records that this instance acts on and its
+// copy of the fleet's table lacks.
+func (c *Controller) announcedLeaders() []catalog.Leadership {
+	var out []catalog.Leadership
+	for id, g := range c.groups {
+		if g.record.Version > 0 && (g.announced || c.tables[c.Schema.FleetTable].rows[leaderPrefix+string(id)].Version != g.record.Version) {
+			out = append(out, g.record)
+		}
+	}
+	return out
+}
+
+// watch sends a Watch call to a peer and installs what the response brings.
+func (c *Controller) watch(ctx context.Context, p *peer, req *peerrpc.WatchRequest) {
+	start := c.Clock.Now()
+	scope := c.repoll.Load()
+	call, cancel := context.WithTimeout(scope, time.Duration(req.HoldMS)*time.Millisecond+watchSlack)
+	defer cancel()
+	res, err := p.client.Watch(call, req)
+	if err != nil {
+		if scope.Err() != nil {
+			return // ended by repollNow
+		}
+		p.client.Close()
+		if c.runInLoop(ctx, func() { c.recordPeerFailure(p, err) }) != nil {
+			return
+		}
+		return
+	}
+	_ = c.runInLoop(ctx, func() { c.applyWatch(p, start, req, res) })
+}
+
+// recordPeerFailure records that a call to a peer failed.
+func (c *Controller) recordPeerFailure(p *peer, err error) {
+	now := c.Clock.Now()
+	refused := errors.Is(err, peerrpc.ErrNotRunning)
+	wait := avoidAfterFailure
+	if refused {
+		wait = avoidAfterRefusal
+	}
+	if now >= p.avoidUntil {
+		c.Log.Info("control: instance does not answer", "peer", string(p.ID), "not_running", refused, "error", err.Error())
+	}
+	p.avoidUntil, p.notRunning, p.reported = now+wait, refused, nil
+	c.Metrics.Count("exchange_failures")
+	c.assignHomes()
+}
+
+// recordPeerAnswer records that a peer answered a call that began at start.
+func (c *Controller) recordPeerAnswer(p *peer, serving bool) {
+	changed := p.avoidUntil > 0 || p.notRunning || p.serving != serving
+	p.avoidUntil, p.notRunning, p.serving = 0, false, serving
+	if changed {
+		c.assignHomes()
+	}
+}
+
+// applyWatch installs the response to a Watch call that began at start.
+func (c *Controller) applyWatch(p *peer, start time.Duration, req *peerrpc.WatchRequest, res *peerrpc.WatchResponse) {
+	now := c.Clock.Now()
+	c.recordPeerAnswer(p, res.Serving)
+	if req.Heard != nil {
+		p.reported = req.Heard
+	}
+	changed := false
+	for name, t := range res.Tables {
+		if c.tables[name] != nil && c.applyTableChange(name, t) {
+			changed = true
+		}
+	}
+	for _, l := range res.Leaders {
+		if c.adoptLeadership(l) {
+			changed = true
+		}
+	}
+	if changed {
+		c.publishView()
+	}
+	if res.HasAbsent && !c.role.Root {
+		c.setAbsent(res.Absent)
+	}
+	// The response left the peer no earlier than held after the call began.
+	sent := start + time.Duration(res.HeldMS)*time.Millisecond
+	if res.ContactAgeMS >= 0 {
+		if at := sent - time.Duration(res.ContactAgeMS)*time.Millisecond; !c.hasContact || at > c.contact {
+			c.contact, c.hasContact = at, true
+		}
+	}
+	c.lease.AddPeerResponse(p.ID, start, res.ProofAgeMS >= 0)
+	if res.ProofAgeMS >= 0 {
+		c.addProof(sent - time.Duration(res.ProofAgeMS)*time.Millisecond)
+	} else {
+		c.renewLease()
+	}
+	if at, ok := c.lease.Proof(); !ok || now > at+freshProofAge {
+		p.staleUntil = now + avoidAfterFailure/2
+	}
+}
+
+// addProof records a proof and lets the instances that follow this one know.
+func (c *Controller) addProof(at time.Duration) {
+	before, ok := c.lease.Proof()
+	c.lease.AddProof(at)
+	c.renewLease()
+	if after, _ := c.lease.Proof(); !ok || after >= before+proofGain {
+		c.signalChange()
+	}
+}
+
+// collectEvidence calls all other instances while the store proves nothing, for the
+// majority of package lease, until ctx ends.
+func (c *Controller) collectEvidence(ctx context.Context) {
+	for sleep(ctx, evidenceInterval) {
+		var calls []*peer
+		var reqs []peerrpc.WatchRequest
+		if c.runInLoop(ctx, func() {
+			now := c.Clock.Now()
+			at, ok := c.lease.Proof()
+			if !ok || now <= at+maxRelayedProofAge {
+				return
+			}
+			for _, p := range c.peers {
+				calls = append(calls, p)
+				reqs = append(reqs, c.watchRequest(now, p, 0))
+			}
+		}) != nil {
+			return
+		}
+		for i, p := range calls {
+			go c.watch(ctx, p, &reqs[i])
+		}
+	}
+}
+
+// repollScope is the context of the held calls to the instance that this one follows.
+type repollScope struct {
+	context.Context
+	cancel context.CancelFunc
+}
+
+func newRepollScope() *repollScope {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &repollScope{ctx, cancel}
+}
+
+// repollNow ends the held call to the instance that this one follows, so that the
+// next one tells it the news.
+func (c *Controller) repollNow() { c.repoll.Swap(newRepollScope()).cancel() }
+
+// tableStates returns the state of this instance's copy of each loaded table.
+func (c *Controller) tableStates() map[string]peerrpc.TableState {
+	out := make(map[string]peerrpc.TableState, len(c.tables))
+	for name, t := range c.tables {
+		if t.loaded && !t.damaged {
+			out[name] = peerrpc.TableState{AsOf: t.asOf, Digest: t.digest}
+		}
+	}
+	return out
+}
+
+// Watch serves the call of an instance that follows this one.
+func (c *Controller) Watch(ctx context.Context, req *peerrpc.WatchRequest) (*peerrpc.WatchResponse, error) {
+	var res *peerrpc.WatchResponse
+	received := c.Clock.Now()
+	hold := min(max(0, time.Duration(req.HoldMS)*time.Millisecond), relay.MaxHold)
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	for waiting := true; ; {
+		var changed chan struct{}
+		news := false
+		if err := c.runInLoop(ctx, func() {
+			now := c.Clock.Now()
+			c.hear(now, req)
+			res, news = c.newsFor(now, now-received, req)
+			changed = c.changed
+		}); err != nil {
+			return nil, err
+		}
+		if news || !waiting || hold == 0 {
+			res.HeldMS = (c.Clock.Now() - received).Milliseconds()
+			return res, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// hear records that an instance is waiting for changes.
+func (c *Controller) hear(now time.Duration, req *peerrpc.WatchRequest) {
+	if req.HoldMS > 0 {
+		c.presence.Report(now, req.From, req.Heard)
+		if req.Serving {
+			c.presence.Hear(now, req.From)
+		} else {
+			c.presence.Forget(req.From)
+		}
+		if c.role.Root {
+			c.updateRole(now)
+		}
+	}
+	if p := c.peers[req.From]; p != nil {
+		c.recordPeerAnswer(p, req.Serving)
+	}
+}
+
+// newsFor returns what an instance lacks that called held ago, and whether it is worth
+// an answer before the end of the hold.
+func (c *Controller) newsFor(now, held time.Duration, req *peerrpc.WatchRequest) (*peerrpc.WatchResponse, bool) {
+	res := &peerrpc.WatchResponse{ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving()}
+	news := false
+	if at, ok := c.lease.Proof(); ok {
+		// Rounded up, so that the caller never takes the proof for younger than it is.
+		res.ProofAgeMS = (now - at).Milliseconds() + 1
+		news = req.ProofAgeMS < 0 || time.Duration(res.ProofAgeMS)*time.Millisecond+proofGain < time.Duration(req.ProofAgeMS)*time.Millisecond+held
+		// A caller without a recent proof has to look elsewhere.
+		news = news || now > at+freshProofAge
+	} else {
+		news = true
+	}
+	if c.role.Root && c.hasContact && now < c.contact+watchBatchInterval {
+		res.ContactAgeMS = 0
+	} else if c.hasContact {
+		res.ContactAgeMS = (now - c.contact).Milliseconds() + 1
+	}
+	for name, t := range c.tables {
+		if change, ok := t.changesFor(req.Tables[name]); ok {
+			if res.Tables == nil {
+				res.Tables = map[string]peerrpc.TableChange{}
+			}
+			res.Tables[name] = change
+			news = true
+		}
+	}
+	for _, l := range c.announcedLeaders() {
+		if announcedVersion(l) > req.Announced[l.Group] {
+			res.Leaders = append(res.Leaders, l)
+			news = true
+		}
+	}
+	if req.AbsentHash != c.absentHash {
+		res.HasAbsent = true
+		for id := range c.absent {
+			res.Absent = append(res.Absent, id)
+		}
+		slices.Sort(res.Absent)
+		news = true
+	}
+	return res, news
+}
+
+// changesFor returns the rows that another copy of the table lacks; false if none.
+func (t *table) changesFor(theirs peerrpc.TableState) (peerrpc.TableChange, bool) {
+	if !t.loaded || t.asOf <= theirs.AsOf || t.digest == theirs.Digest {
+		return peerrpc.TableChange{}, false
+	}
+	change := peerrpc.TableChange{TableState: peerrpc.TableState{AsOf: t.asOf, Digest: t.digest}}
+	if theirs.AsOf == 0 || theirs.AsOf < t.deletionsKnownSince {
+		change.Complete = true
+		for _, r := range t.rows {
+			change.Rows = append(change.Rows, r)
+		}
+		return change, true
+	}
+	for _, rows := range []map[string]kvstore.Row{t.rows, t.deleted} {
+		for _, r := range rows {
+			if r.Version > theirs.AsOf {
+				change.Rows = append(change.Rows, r)
+			}
+		}
+	}
+	slices.SortFunc(change.Rows, func(a, b kvstore.Row) int { return cmp.Compare(a.Version, b.Version) })
+	return change, true
+}
+
+// applyTableChange installs what another instance's copy of a table has more and
+// reports whether there was anything.
+func (c *Controller) applyTableChange(name string, change peerrpc.TableChange) bool {
+	t := c.tables[name]
+	if t.loaded && (change.AsOf < t.asOf || change.AsOf == t.asOf && !t.damaged) {
+		return false
+	}
+	if change.Complete {
+		c.replaceTable(name, change.Rows, change.AsOf)
+	} else if t.loaded {
+		c.applyChanges(name, change.Rows, change.AsOf)
+	} else {
+		return false
+	}
+	if t.damaged = t.digest != change.Digest && t.asOf == change.AsOf; t.damaged {
+		c.Log.Warn("control: copy of a table differs after a change; it is copied whole", "table", name)
+		c.Metrics.Count("table_copies_damaged")
+	}
+	return true
+}
--- a/edge/peerrpc/peerrpc.go
+++ b/edge/peerrpc/peerrpc.go
@@ -1,6 +1,6 @@
 // Package peerrpc implements the protocol between instances: unary Connect RPCs
-// with JSON messages. Each instance calls every other one periodically, and all
-// of them during a change of primary.
+// with JSON messages. Each instance follows the changes of one other, see package
+// relay.
 package peerrpc
 
 import (
@@ -28,39 +28,59 @@
 	Digest uint64 `json:"d"`
 }
 
-// Table is a complete copy of a table.
-type Table struct {
+// TableChange brings a copy of a table up to date.
+type TableChange struct {
 	TableState
-	Rows []kvstore.Row `json:"r"`
+	// Rows are the rows that the caller lacks, deleted ones included. If Complete is
+	// set they are the whole table instead.
+	Rows     []kvstore.Row `json:"r"`
+	Complete bool          `json:"w,omitempty"`
 }
 
-// UpdateRequest is sent periodically to exchange the state of table copies.
-type UpdateRequest struct {
+// WatchRequest asks for the changes that the caller lacks. The call is held while
+// there are none.
+type WatchRequest struct {
 	From   fleet.InstanceID      `json:"f"`
 	Tables map[string]TableState `json:"t"`
-	// RequestedTables lists the tables whose rows the caller requests.
-	RequestedTables []string `json:"w,omitempty"`
+	// Announced holds the versions of the leadership records that the caller knows
+	// and its copy of the fleet's table lacks.
+	Announced map[fleet.GroupID]uint64 `json:"l,omitempty"`
+	// ProofAgeMS is the age of the caller's proof in milliseconds, see
+	// WatchResponse; negative if it has none.
+	ProofAgeMS int64 `json:"p"`
+	// HoldMS bounds the time for which the call is held, in milliseconds.
+	HoldMS int64 `json:"h"`
 	// Serving is false while the caller is starting or leaving.
 	Serving bool `json:"s"`
+	// Heard lists the instances that the caller has heard from recently; nil if the
+	// list has not changed since the caller's last successful call to this instance.
+	Heard []fleet.InstanceID `json:"e"`
+	// AbsentHash is the hash of the absent instances known to the caller.
+	AbsentHash uint64 `json:"b,omitempty"`
 }
 
-// UpdateResponse returns the state that the caller lacks.
-type UpdateResponse struct {
-	// Tables are the requested tables whose rows are newer at this instance. The
-	// fleet's own table is included if it is newer even if not requested, since
-	// ProofAgeMS would prove nothing without it.
-	Tables map[string]Table `json:"t,omitempty"`
-	// NewerTables lists the other tables whose rows are newer at this instance.
-	NewerTables []string `json:"n,omitempty"`
+// WatchResponse returns the state that the caller lacks.
+type WatchResponse struct {
+	// HeldMS is for how long the call was held, in milliseconds, rounded down.
+	HeldMS int64 `json:"h"`
+	// Tables are the changes of tables by name.
+	Tables map[string]TableChange `json:"t,omitempty"`
 	// ProofAgeMS is how long ago this instance's copy of the fleet's own table
 	// was proved complete, in milliseconds; negative if never.
 	ProofAgeMS int64 `json:"p"`
+	// ContactAgeMS is how long ago this instance had contact with the root, directly
+	// or through others, in milliseconds; negative if never.
+	ContactAgeMS int64 `json:"c"`
 	// Serving is false while this instance is starting or leaving.
 	Serving bool `json:"s"`
-	// Leaders are the leadership records that this instance acts on. They may be
-	// newer than its copy of the table if it received them from the holder of a
-	// change of primary.
+	// Leaders are the leadership records that this instance acts on and the caller
+	// lacks. They may be newer than its copy of the table if it received them from
+	// the holder of a change of primary.
 	Leaders []catalog.Leadership `json:"l,omitempty"`
+	// Absent lists the members that the root has not heard from, if HasAbsent is set:
+	// the caller has another list.
+	Absent    []fleet.InstanceID `json:"b,omitempty"`
+	HasAbsent bool               `json:"a,omitempty"`
 }
 
 // ConfirmRequest asks an instance to act on a group's leadership record.
@@ -96,11 +116,13 @@
 type GrantResponse struct {
 	Tokens  int   `json:"t"`
 	RetryMS int64 `json:"r,omitempty"`
+	// Moved is set if this instance is leaving, so that another one is the home.
+	Moved bool `json:"m,omitempty"`
 }
 
-// LeaveRequest announces that an instance is leaving the fleet, or is no longer the
-// home of some accounts. It hands over the remaining tokens of the accounts whose
-// next home is the instance called.
+// LeaveRequest hands over the remaining tokens of the accounts whose home was the
+// caller and is the instance called from now on. Leaving is set if the caller is
+// leaving the fleet.
 type LeaveRequest struct {
 	From    fleet.InstanceID            `json:"f"`
 	Leaving bool                        `json:"l"`
@@ -112,7 +134,7 @@
 
 // Service handles the calls of other instances.
 type Service interface {
-	Update(ctx context.Context, u *UpdateRequest) (*UpdateResponse, error)
+	Watch(ctx context.Context, w *WatchRequest) (*WatchResponse, error)
 	Confirm(ctx context.Context, c *ConfirmRequest) (*ConfirmResponse, error)
 	Reach(ctx context.Context, r *ReachRequest) (*ReachResponse, error)
 	Grant(ctx context.Context, g *GrantRequest) (*GrantResponse, error)
@@ -121,7 +143,7 @@
 
 const (
 	servicePath = "/vanillahinge.edge.v1.Fleet/"
-	updatePath  = servicePath + "Update"
+	watchPath   = servicePath + "Watch"
 	confirmPath = servicePath + "Confirm"
 	reachPath   = servicePath + "Reach"
 	grantPath   = servicePath + "Grant"
@@ -153,7 +175,7 @@
 // Handler returns the HTTP handler that serves s.
 func Handler(s Service) http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, updatePath, s.Update)
+	handle(mux, watchPath, s.Watch)
 	handle(mux, confirmPath, s.Confirm)
 	handle(mux, reachPath, s.Reach)
 	handle(mux, grantPath, s.Grant)
@@ -177,7 +199,7 @@
 // Peer is a client for one other instance.
 type Peer struct {
 	http    *http.Client
-	update  *connect.Client[UpdateRequest, UpdateResponse]
+	watch   *connect.Client[WatchRequest, WatchResponse]
 	confirm *connect.Client[ConfirmRequest, ConfirmResponse]
 	reach   *connect.Client[ReachRequest, ReachResponse]
 	grant   *connect.Client[GrantRequest, GrantResponse]
@@ -190,7 +212,7 @@
 	p := &Peer{http: &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer}}}
 	url := "http://" + addr
-	p.update = newClient[UpdateRequest, UpdateResponse](p.http, url+updatePath)
+	p.watch = newClient[WatchRequest, WatchResponse](p.http, url+watchPath)
 	p.confirm = newClient[ConfirmRequest, ConfirmResponse](p.http, url+confirmPath)
 	p.reach = newClient[ReachRequest, ReachResponse](p.http, url+reachPath)
 	p.grant = newClient[GrantRequest, GrantResponse](p.http, url+grantPath)
@@ -216,9 +238,9 @@
 	return res.Msg, nil
 }
 
-// Update exchanges table states with the peer.
-func (p *Peer) Update(ctx context.Context, u *UpdateRequest) (*UpdateResponse, error) {
-	return call(ctx, p.update, u)
+// Watch asks the peer for changes.
+func (p *Peer) Watch(ctx context.Context, w *WatchRequest) (*WatchResponse, error) {
+	return call(ctx, p.watch, w)
 }
 
 // Confirm asks the peer to act on a leadership record.
