edge: split the execution of statements at endpoints from sessions

engine keeps sessions, admission and the client's protocol; executor gets connections, repeats what did not run and chooses the answers. An operation carries all that an endpoint needs to run it, so that it can be run by another instance.

--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -25,6 +25,7 @@
 	"github.com/vanillahinge/vanillahinge/edge/clock"
 	"github.com/vanillahinge/vanillahinge/edge/control"
 	"github.com/vanillahinge/vanillahinge/edge/engine"
+	"github.com/vanillahinge/vanillahinge/edge/executor"
 	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
 	"github.com/vanillahinge/vanillahinge/edge/pool"
 	"github.com/vanillahinge/vanillahinge/edge/telemetry"
@@ -135,7 +136,8 @@
 			ConfigKey: platform.ConfigKey, DecodeCatalog: platform.DecodeCatalog, DecodeEndpoint: platform.DecodeEndpoint,
 			DecodeState: platform.DecodeEndpointState},
 	})
-	a.engine = &engine.Engine{Clock: clk, View: a.control.View, Pool: a.pool, Admission: limiter,
+	local := &executor.Local{Clock: clk, Pool: a.pool, Log: log, Metrics: metrics}
+	a.engine = &engine.Engine{Clock: clk, View: a.control.View, Executor: local, Admission: limiter,
 		Errors: platform.ErrorClassifier{}, Log: log, Metrics: metrics}
 	return a
 }
--- a/edge/engine/engine.go
+++ b/edge/engine/engine.go
@@ -1,14 +1,6 @@
 // Package engine runs client sessions. It keeps their settings, prepared statements
-// and transactions, routes each statement to an endpoint, decides which statements
-// are retried, and chooses the answer to the client when a statement fails. It is
-// independent of the wire protocol.
-//
-// Invariants:
-//   - A refusal that promises that nothing was applied is sent only if no commit
-//     and no single write of the attempt was sent, or if the endpoint reported that
-//     it did not run.
-//   - A connection is reused by another session only if it is idle and the whole
-//     answer to its last statement has been read.
+// and transactions, admits their operations and hands their statements to an executor.
+// It is independent of the wire protocol.
 package engine
 
 import (
@@ -21,12 +13,11 @@
 	"time"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
-	"github.com/vanillahinge/vanillahinge/core/dispatch"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/ratelimit"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/edge/clock"
-	"github.com/vanillahinge/vanillahinge/edge/pool"
+	"github.com/vanillahinge/vanillahinge/edge/executor"
 	"github.com/vanillahinge/vanillahinge/edge/telemetry"
 	"github.com/vanillahinge/vanillahinge/edge/view"
 )
@@ -72,38 +63,15 @@
 type Engine struct {
 	Clock     *clock.Clock
 	View      func() *view.View
-	Pool      *pool.Pool
+	Executor  executor.Executor
 	Admission Admission
 	Errors    ErrorClassifier
 	Log       *telemetry.Log
 	Metrics   *telemetry.Metrics
 
-	mu           sync.Mutex
-	sessions     map[*session]struct{}
-	serviceTimes map[statementClass]*dispatch.ServiceTime
-	stopping     atomic.Bool
-}
-
-// statementClass groups statements whose service times are estimated together.
-type statementClass struct {
-	database string
-	write    bool
-	commit   bool
-}
-
-// serviceTime returns the estimate for a class of statements.
-func (e *Engine) serviceTime(class statementClass) *dispatch.ServiceTime {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.serviceTimes == nil {
-		e.serviceTimes = map[statementClass]*dispatch.ServiceTime{}
-	}
-	t := e.serviceTimes[class]
-	if t == nil {
-		t = &dispatch.ServiceTime{}
-		e.serviceTimes[class] = t
-	}
-	return t
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	stopping atomic.Bool
 }
 
 const (
--- a/edge/engine/session.go
+++ b/edge/engine/session.go
@@ -8,7 +8,7 @@
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/ratelimit"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
-	"github.com/vanillahinge/vanillahinge/edge/pool"
+	"github.com/vanillahinge/vanillahinge/edge/executor"
 )
 
 type preparedStatement struct {
@@ -46,11 +46,8 @@
 	route    catalog.Route
 	account  fleet.AccountID
 	readOnly bool
-	// startedAt is when the engine began to handle the transaction's Begin.
-	startedAt time.Duration
-	// conn is nil until the transaction begins at an endpoint.
-	conn  *pool.Conn
-	wrote bool
+	// running is nil until the transaction begins at an endpoint.
+	running executor.Transaction
 	// failed is set if the transaction is rolled back and only its end is accepted.
 	failed bool
 }
@@ -132,35 +129,23 @@
 // failTransaction rolls the transaction back and leaves it in the failed state until
 // the client ends it.
 func (s *session) failTransaction() {
-	s.rollbackAndRelease()
+	s.rollback()
 	s.tx.failed = true
 }
 
-// rollbackAndRelease rolls the transaction back and releases its connection.
-func (s *session) rollbackAndRelease() {
-	c := s.tx.conn
-	s.tx.conn = nil
-	if c == nil {
-		return
+// rollback rolls back what the transaction has begun at an endpoint.
+func (s *session) rollback() {
+	if s.tx.running != nil {
+		s.tx.running.Rollback()
+		s.tx.running = nil
 	}
-	s.engine.Pool.BeginStatement(c)
-	a, err := s.roundTrip(c, time.Now().Add(rollbackTimeout), stmt.Statement{Kind: stmt.Rollback})
-	clean := err == nil && a.State == stmt.Idle
-	if err == nil {
-		s.engine.Pool.EndStatement(c, a, nil)
-	}
-	s.engine.Pool.Release(c, clean)
 }
 
-// rollbackTimeout bounds the wait for a rollback. After it the connection is closed,
-// which rolls the transaction back as well.
-const rollbackTimeout = 300 * time.Millisecond
-
 // run handles statements until the session ends.
 func (s *session) run() {
 	defer func() {
 		if s.tx != nil {
-			s.rollbackAndRelease()
+			s.rollback()
 		}
 	}()
 	for {
@@ -250,7 +235,7 @@
 		if s.tx == nil {
 			return stmt.Answer{Code: stmt.BadStatement, Text: "no transaction is open"}
 		}
-		s.rollbackAndRelease()
+		s.rollback()
 		s.tx = nil
 		return stmt.Answer{}
 	case stmt.Commit:
@@ -258,9 +243,6 @@
 			return stmt.Answer{Code: stmt.BadStatement, Text: "no transaction is open"}
 		}
 		a := s.runInTransaction(q, start)
-		if s.tx != nil && s.tx.conn != nil {
-			s.rollbackAndRelease()
-		}
 		s.tx = nil
 		return a
 	case stmt.Execute:
@@ -283,7 +265,7 @@
 	if code != stmt.OK {
 		return stmt.Answer{Code: code, Text: text}
 	}
-	s.tx = &transaction{route: r, account: account, readOnly: q.ReadOnly, startedAt: start}
+	s.tx = &transaction{route: r, account: account, readOnly: q.ReadOnly}
 	return stmt.Answer{}
 }
 
@@ -305,7 +287,39 @@
 	return r, account, stmt.Busy, "the client account is over its rate; slow down"
 }
 
-// isWrite reports whether a statement writes.
-func (s *session) isWrite(q stmt.Statement) bool {
-	return q.Kind == stmt.Write || q.Kind == stmt.Execute && s.prepared[q.Name].writes
+// operation returns a statement with what an endpoint needs to run it.
+func (s *session) operation(q stmt.Statement, r catalog.Route, account fleet.AccountID, start time.Duration) *executor.Operation {
+	if q.Kind == stmt.Execute {
+		p := s.prepared[q.Name]
+		q.PreparedText, q.PreparedWrites = p.text, p.writes
+	}
+	return &executor.Operation{Route: r, Account: account, Statement: q, Settings: s.settings, LastCommit: s.lastCommit, StartedAt: start}
+}
+
+// runSingle runs a statement outside a transaction.
+func (s *session) runSingle(q stmt.Statement, start time.Duration) stmt.Answer {
+	r, account, code, text := s.admit(start)
+	if code != stmt.OK {
+		return stmt.Answer{Code: code, Text: text}
+	}
+	out := s.engine.Executor.Run(s.operation(q, r, account, start))
+	s.lastCommit = out.LastCommit
+	return out.Answer
+}
+
+// runInTransaction runs a statement of the open transaction, or its commit.
+func (s *session) runInTransaction(q stmt.Statement, start time.Duration) stmt.Answer {
+	tx := s.tx
+	op := s.operation(q, tx.route, tx.account, start)
+	var out executor.Outcome
+	if tx.running == nil {
+		tx.running, out = s.engine.Executor.Begin(op, tx.readOnly)
+	} else {
+		out = tx.running.Run(op)
+	}
+	if !out.Open {
+		tx.running, tx.failed = nil, true
+	}
+	s.lastCommit = out.LastCommit
+	return out.Answer
 }
--- a/edge/engine/exec.go
+++ b/edge/executor/local.go
@@ -1,17 +1,20 @@
-package engine
+package executor
 
 import (
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/dispatch"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
+	"github.com/vanillahinge/vanillahinge/edge/clock"
 	"github.com/vanillahinge/vanillahinge/edge/pool"
+	"github.com/vanillahinge/vanillahinge/edge/telemetry"
 )
 
 const (
@@ -35,12 +38,46 @@
 
 // errLeaseExpired means that this instance may not use the primary now; nothing was
 // sent.
-var errLeaseExpired = errors.New("engine: the lease on the primary has expired; it is renewed through the store or the other instances")
+var errLeaseExpired = errors.New("executor: the lease on the primary has expired; it is renewed through the store or the other instances")
+
+// Local is the Executor that uses this instance's own connections.
+type Local struct {
+	Clock   *clock.Clock
+	Pool    *pool.Pool
+	Log     *telemetry.Log
+	Metrics *telemetry.Metrics
+
+	mu           sync.Mutex
+	serviceTimes map[statementClass]*dispatch.ServiceTime
+}
+
+// statementClass groups statements whose service times are estimated together.
+type statementClass struct {
+	database string
+	write    bool
+	commit   bool
+}
+
+// serviceTime returns the estimate for the class of an operation.
+func (l *Local) serviceTime(op *Operation) *dispatch.ServiceTime {
+	class := statementClass{database: op.Route.Database, write: op.Writes(), commit: op.Statement.Kind == stmt.Commit}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.serviceTimes == nil {
+		l.serviceTimes = map[statementClass]*dispatch.ServiceTime{}
+	}
+	t := l.serviceTimes[class]
+	if t == nil {
+		t = &dispatch.ServiceTime{}
+		l.serviceTimes[class] = t
+	}
+	return t
+}
 
 // roundTrip sends statements in one write and returns the answer to the last one.
 // It returns an error if an earlier one fails.
-func (s *session) roundTrip(c *pool.Conn, deadline time.Time, ss ...stmt.Statement) (stmt.Answer, error) {
-	if !s.engine.Pool.MaySend(c) {
+func (l *Local) roundTrip(c *pool.Conn, deadline time.Time, ss ...stmt.Statement) (stmt.Answer, error) {
+	if !l.Pool.MaySend(c) {
 		return stmt.Answer{}, errLeaseExpired
 	}
 	var buf [4]stmt.Answer
@@ -58,15 +95,15 @@
 }
 
 // connSetup returns the statements that apply the session's settings to a connection
-// and prepare the text that q executes, and records them in c. A connection that
-// carries a setting of another session or too many prepared statements is reset
-// first, unless a transaction is open on it.
-func (s *session) connSetup(c *pool.Conn, q stmt.Statement, inTx bool) []stmt.Statement {
+// and prepare the text that the operation executes, and records them in c. A
+// connection that carries a setting of another session or too many prepared
+// statements is reset first, unless a transaction is open on it.
+func connSetup(c *pool.Conn, op *Operation, inTx bool) []stmt.Statement {
 	var setup []stmt.Statement
 	if !inTx {
 		reset := len(c.PreparedNames) >= maxPreparedPerConn
 		for name := range c.Settings {
-			if _, ok := s.settings[name]; !ok {
+			if _, ok := op.Settings[name]; !ok {
 				reset = true
 			}
 		}
@@ -76,14 +113,14 @@
 			clear(c.PreparedNames)
 		}
 	}
-	for name, v := range s.settings {
+	for name, v := range op.Settings {
 		if old, ok := c.Settings[name]; !ok || old != v {
 			setup = append(setup, stmt.Statement{Kind: stmt.Set, Name: name, Value: v})
 			c.Settings[name] = v
 		}
 	}
-	if q.Kind == stmt.Execute {
-		text := s.prepared[q.Name].text
+	if op.Statement.Kind == stmt.Execute {
+		text := op.Statement.PreparedText
 		if _, ok := c.PreparedNames[text]; !ok {
 			name := "p" + strconv.Itoa(len(c.PreparedNames))
 			c.PreparedNames[text] = name
@@ -96,39 +133,40 @@
 // replicaPosition reports whether a statement or transaction of a route may run at
 // replicas, and the log position that a replica must have for it. Otherwise it may
 // run only at the primary.
-func (s *session) replicaPosition(r catalog.Route, readOnly bool) (minPosition fleet.LogPosition, replicas bool) {
+func (l *Local) replicaPosition(op *Operation, readOnly bool) (minPosition fleet.LogPosition, replicas bool) {
+	r := &op.Route
 	if !readOnly || r.Consistency == catalog.Latest || r.MaxStaleness <= 0 {
 		return fleet.LogPosition{}, false
 	}
-	minPosition, ok := s.engine.Pool.RequiredPosition(r.Group, r.MaxStaleness)
+	minPosition, ok := l.Pool.RequiredPosition(r.Group, r.MaxStaleness)
 	if !ok {
 		return fleet.LogPosition{}, false
 	}
-	if r.Consistency == catalog.ReadYourWrites && s.lastCommit != (fleet.LogPosition{}) {
-		if s.lastCommit.Term < s.engine.Pool.Term(r.Group) {
+	if r.Consistency == catalog.ReadYourWrites && op.LastCommit != (fleet.LogPosition{}) {
+		if op.LastCommit.Term < l.Pool.Term(r.Group) {
 			// The change of primary may have lost the commit, so no replica can be
 			// required to have it; the primary has what was kept.
 			return fleet.LogPosition{}, false
 		}
-		minPosition = minPosition.Max(s.lastCommit)
+		minPosition = minPosition.Max(op.LastCommit)
 	}
 	return minPosition, true
 }
 
-// recordCommit updates lastCommit after an answer from the primary: after a write,
-// or if the primary's term is newer than that of lastCommit.
-func (s *session) recordCommit(c *pool.Conn, a stmt.Answer, wrote bool) {
-	if c.Primary && (wrote || s.lastCommit != (fleet.LogPosition{}) && s.lastCommit.Term < a.Position.Term) {
-		s.lastCommit = a.Position
+// lastCommit returns the position that covers the session's acknowledged commits after
+// an answer: that of the answer after a write at the primary, or if the primary's term
+// is newer than that of the session's position.
+func (op *Operation) lastCommit(c *pool.Conn, a stmt.Answer, wrote bool) fleet.LogPosition {
+	if c.Primary && (wrote || op.LastCommit != (fleet.LogPosition{}) && op.LastCommit.Term < a.Position.Term) {
+		return a.Position
 	}
+	return op.LastCommit
 }
 
 // execution is the state of one statement, or of the begin of a transaction, over
 // its attempts at endpoints.
 type execution struct {
-	route       catalog.Route
-	account     fleet.AccountID
-	startedAt   time.Duration
+	*Operation
 	deadline    time.Time
 	serviceTime *dispatch.ServiceTime
 	attempts    int
@@ -136,14 +174,15 @@
 	avoid fleet.EndpointID
 }
 
-func (s *session) newExecution(r catalog.Route, account fleet.AccountID, start time.Duration, class statementClass) *execution {
-	return &execution{route: r, account: account, startedAt: start, deadline: time.Now().Add(r.StatementTimeout), serviceTime: s.engine.serviceTime(class)}
+func (l *Local) newExecution(op *Operation) *execution {
+	deadline := time.Now().Add(op.Route.StatementTimeout - (l.Clock.Now() - op.StartedAt))
+	return &execution{Operation: op, deadline: deadline, serviceTime: l.serviceTime(op)}
 }
 
 // latestStart returns the last moment at which a statement can start and still be
 // answered within the route's latency objective.
 func (ex *execution) latestStart() time.Duration {
-	return ex.startedAt + max(ex.route.LatencyObjective-2*ex.serviceTime.Estimate(), ex.route.LatencyObjective/4)
+	return ex.StartedAt + max(ex.Route.LatencyObjective-2*ex.serviceTime.Estimate(), ex.Route.LatencyObjective/4)
 }
 
 // mayRetry reports whether another attempt is allowed.
@@ -160,13 +199,13 @@
 
 // acquire gets a connection for the next attempt, and the log position that a
 // replica must have. If it gets none, it returns the answer for the client.
-func (s *session) acquire(ex *execution, readOnly bool) (*pool.Conn, fleet.LogPosition, stmt.Answer) {
+func (l *Local) acquire(ex *execution, readOnly bool) (*pool.Conn, fleet.LogPosition, stmt.Answer) {
 	for {
 		ex.attempts++
-		minPosition, replicas := s.replicaPosition(ex.route, readOnly)
-		c, err := s.engine.Pool.Acquire(pool.Request{
-			Group: ex.route.Group, Account: ex.account, Primary: !replicas, Floor: minPosition, Avoid: ex.avoid,
-			Priority: ex.route.Priority, LatestStart: ex.latestStart(), Timeout: ex.route.StatementTimeout, Work: ex.serviceTime, Settings: s.settings,
+		minPosition, replicas := l.replicaPosition(ex.Operation, readOnly)
+		c, err := l.Pool.Acquire(pool.Request{
+			Group: ex.Route.Group, Account: ex.Account, Primary: !replicas, Floor: minPosition, Avoid: ex.avoid,
+			Priority: ex.Route.Priority, LatestStart: ex.latestStart(), Timeout: ex.Route.StatementTimeout, Work: ex.serviceTime, Settings: ex.Settings,
 		})
 		if err == nil {
 			if c.Primary {
@@ -178,7 +217,7 @@
 		if errors.As(err, &refusal) {
 			return nil, minPosition, stmt.Answer{Code: stmt.Busy, Text: err.Error()}
 		}
-		if !ex.mayRetry(s.engine.Clock.Now()) {
+		if !ex.mayRetry(l.Clock.Now()) {
 			return nil, minPosition, stmt.Answer{Code: stmt.Busy, Text: "no connection to an endpoint; try again later"}
 		}
 		var refused *stmt.RefusedError
@@ -188,16 +227,19 @@
 	}
 }
 
-// runSingle runs a statement outside a transaction.
-func (s *session) runSingle(q stmt.Statement, start time.Duration) stmt.Answer {
-	r, account, code, text := s.admit(start)
-	if code != stmt.OK {
-		return stmt.Answer{Code: code, Text: text}
-	}
-	writes := s.isWrite(q)
-	ex := s.newExecution(r, account, start, statementClass{database: s.database, write: writes})
+// Run implements Executor.
+func (l *Local) Run(op *Operation) Outcome {
+	out := Outcome{LastCommit: op.LastCommit}
+	out.Answer = l.runSingle(op, &out)
+	return out
+}
+
+// runSingle runs a statement outside a transaction and returns the answer to it.
+func (l *Local) runSingle(op *Operation, out *Outcome) stmt.Answer {
+	writes, latest := op.Writes(), op.Route.Consistency == catalog.Latest
+	ex := l.newExecution(op)
 	for {
-		c, minPosition, refusal := s.acquire(ex, !writes)
+		c, minPosition, refusal := l.acquire(ex, !writes)
 		if c == nil {
 			return refusal
 		}
@@ -205,31 +247,31 @@
 		if !writes {
 			deadline = ex.readDeadline()
 		}
-		a, sent, err := s.send(c, q, minPosition, ex, deadline)
+		a, sent, err := l.send(c, minPosition, ex, deadline, false)
 		if err == nil && a.Code == stmt.OK {
 			if a.Signature == "" {
 				err = fmt.Errorf("%w: success without a signature", stmt.ErrLost)
-			} else if writes && !s.engine.Pool.MaySend(c) {
+			} else if writes && !l.Pool.MaySend(c) {
 				// The primary may have been replaced before the write was applied. The
 				// connection may lead to a former primary, so it is not reused.
-				s.engine.Pool.Release(c, false)
+				l.Pool.Release(c, false)
 				return stmt.Answer{Code: stmt.InDoubt, Text: "the primary was replaced meanwhile; check before repeating"}
 			} else {
-				s.recordCommit(c, a, writes)
-				s.engine.Pool.Release(c, a.State == stmt.Idle)
-				s.recordServed(q, c, ex, minPosition)
+				out.LastCommit = op.lastCommit(c, a, writes)
+				l.Pool.Release(c, a.State == stmt.Idle)
+				l.recordServed(c, ex, minPosition)
 				return a
 			}
 		}
 		ex.avoid = c.Endpoint()
-		s.engine.Pool.Release(c, err == nil && a.State == stmt.Idle)
+		l.Pool.Release(c, err == nil && a.State == stmt.Idle)
 		switch {
 		case err != nil && sent && writes:
 			return stmt.Answer{Code: stmt.InDoubt, Text: "the answer was lost; check before repeating"}
 		case err != nil && sent && !time.Now().Before(ex.deadline):
 			return stmt.Answer{Code: stmt.Timeout, Text: "no answer within the route's time limit"}
 		case err != nil:
-			if !ex.mayRetry(s.engine.Clock.Now()) {
+			if !ex.mayRetry(l.Clock.Now()) {
 				if sent {
 					return stmt.Answer{Code: stmt.Failed, Text: "the answer was lost; repeat the read"}
 				}
@@ -239,22 +281,22 @@
 				pauseBeforeRetry()
 			}
 		case a.Code.NotRun():
-			if !ex.mayRetry(s.engine.Clock.Now()) {
+			if !ex.mayRetry(l.Clock.Now()) {
 				return stmt.Answer{Code: stmt.Busy, Text: "the endpoints refused it; try again later"}
 			}
-			if a.Code != stmt.Lagging && (ex.attempts > 1 || writes || r.Consistency == catalog.Latest) {
+			if a.Code != stmt.Lagging && (ex.attempts > 1 || writes || latest) {
 				pauseBeforeRetry()
 			}
-		case a.Code == stmt.Failed && !writes && ex.mayRetry(s.engine.Clock.Now()):
+		case a.Code == stmt.Failed && !writes && ex.mayRetry(l.Clock.Now()):
 			// A read changed nothing, and it may succeed at another endpoint.
-			if ex.attempts > 1 || r.Consistency == catalog.Latest {
+			if ex.attempts > 1 || latest {
 				pauseBeforeRetry()
 			}
 		default:
 			return a
 		}
-		s.engine.Metrics.Count(`retries{why="` + retryReason(a, err) + `"}`)
-		s.engine.Log.Info("session: statement offered again", "id", q.ID, "database", s.database, "endpoint", string(ex.avoid),
+		l.Metrics.Count(`retries{why="` + retryReason(a, err) + `"}`)
+		l.Log.Info("session: statement offered again", "id", op.Statement.ID, "database", op.Route.Database, "endpoint", string(ex.avoid),
 			"why", retryReason(a, err), "attempt", ex.attempts)
 	}
 }
@@ -272,44 +314,46 @@
 
 // recordLostAnswer logs a statement that got no answer and reports it to the pool.
 // It returns whether the statement may have reached the endpoint.
-func (s *session) recordLostAnswer(q stmt.Statement, c *pool.Conn, err error) bool {
+func (l *Local) recordLostAnswer(op *Operation, c *pool.Conn, err error) bool {
 	if errors.Is(err, errLeaseExpired) {
 		return false
 	}
 	if !c.Revoked() {
-		s.engine.Pool.RecordLostAnswer(c)
+		l.Pool.RecordLostAnswer(c)
 	}
-	s.engine.Log.Info("session: no answer from the endpoint", "id", q.ID, "database", s.database, "endpoint", string(c.Endpoint()), "primary", c.Primary,
+	l.Log.Info("session: no answer from the endpoint", "id", op.Statement.ID, "database", op.Route.Database, "endpoint", string(c.Endpoint()), "primary", c.Primary,
 		"primary_replaced", c.Revoked(), "error", err.Error())
 	return true
 }
 
 // recordServed records the latency of a successful statement, and logs it if it was
 // retried or missed the latency objective.
-func (s *session) recordServed(q stmt.Statement, c *pool.Conn, ex *execution, minPosition fleet.LogPosition) {
-	s.engine.Metrics.Observe(`statement_us{database="`+s.database+`"}`, s.engine.Clock.Now()-ex.startedAt)
-	if ex.attempts > 1 || s.engine.Clock.Now()-ex.startedAt > ex.route.LatencyObjective {
-		s.engine.Log.Info("session: statement served after a retry or past its latency objective", "id", q.ID, "database", s.database, "endpoint", string(c.Endpoint()),
+func (l *Local) recordServed(c *pool.Conn, ex *execution, minPosition fleet.LogPosition) {
+	op := ex.Operation
+	l.Metrics.Observe(`statement_us{database="`+op.Route.Database+`"}`, l.Clock.Now()-ex.StartedAt)
+	if ex.attempts > 1 || l.Clock.Now()-ex.StartedAt > ex.Route.LatencyObjective {
+		l.Log.Info("session: statement served after a retry or past its latency objective", "id", op.Statement.ID, "database", op.Route.Database, "endpoint", string(c.Endpoint()),
 			"primary", c.Primary, "floor", uint64(minPosition.Position), "attempt", ex.attempts,
-			"took_ms", (s.engine.Clock.Now() - ex.startedAt).Milliseconds())
+			"took_ms", (l.Clock.Now() - ex.StartedAt).Milliseconds())
 	}
 }
 
 // send sets up a connection for the session and runs one statement on it. Sent
 // reports whether the statement may have reached the endpoint.
-func (s *session) send(c *pool.Conn, q stmt.Statement, minPosition fleet.LogPosition, ex *execution, deadline time.Time) (a stmt.Answer, sent bool, err error) {
-	if setup := s.connSetup(c, q, s.tx != nil); len(setup) > 0 {
-		if a, err := s.roundTrip(c, ex.deadline, setup...); err != nil || a.Code != stmt.OK {
+func (l *Local) send(c *pool.Conn, minPosition fleet.LogPosition, ex *execution, deadline time.Time, inTx bool) (a stmt.Answer, sent bool, err error) {
+	q := ex.Statement
+	if setup := connSetup(c, ex.Operation, inTx); len(setup) > 0 {
+		if a, err := l.roundTrip(c, ex.deadline, setup...); err != nil || a.Code != stmt.OK {
 			return stmt.Answer{}, false, setupError(a, err)
 		}
 	}
-	a, err = s.roundTrip(c, deadline, s.rewriteForEndpoint(c, q, minPosition))
+	a, err = l.roundTrip(c, deadline, rewriteForEndpoint(c, q, minPosition))
 	if err != nil {
-		return stmt.Answer{}, s.recordLostAnswer(q, c, err), err
+		return stmt.Answer{}, l.recordLostAnswer(ex.Operation, c, err), err
 	}
-	s.engine.Pool.EndStatement(c, a, ex.serviceTime)
+	l.Pool.EndStatement(c, a, ex.serviceTime)
 	if a.Code == stmt.UnknownName && q.Kind == stmt.Execute {
-		delete(c.PreparedNames, s.prepared[q.Name].text)
+		delete(c.PreparedNames, q.PreparedText)
 	}
 	return a, true, nil
 }
@@ -335,106 +379,149 @@
 // rewriteForEndpoint returns a statement in the form sent to the endpoint: with the
 // connection's name of the prepared statement and the required log position; the rest
 // stays as the client sent it.
-func (s *session) rewriteForEndpoint(c *pool.Conn, q stmt.Statement, minPosition fleet.LogPosition) stmt.Statement {
+func rewriteForEndpoint(c *pool.Conn, q stmt.Statement, minPosition fleet.LogPosition) stmt.Statement {
 	if q.Kind == stmt.Execute {
-		q.Name = c.PreparedNames[s.prepared[q.Name].text]
+		q.Name = c.PreparedNames[q.PreparedText]
 	}
 	q.MinPosition = minPosition
 	return q
 }
 
-// beginAtEndpoint gets a connection for the open transaction and begins it there. If
-// that fails, it returns the answer for the client and false.
-func (s *session) beginAtEndpoint(q stmt.Statement, ex *execution) (stmt.Answer, bool) {
-	tx := s.tx
+// localTransaction is a transaction on one of this instance's connections.
+type localTransaction struct {
+	*Local
+	readOnly bool
+	// conn is nil until the transaction begins at an endpoint.
+	conn  *pool.Conn
+	wrote bool
+}
+
+// Begin implements Executor.
+func (l *Local) Begin(op *Operation, readOnly bool) (Transaction, Outcome) {
+	tx := &localTransaction{Local: l, readOnly: readOnly}
+	out := tx.Run(op)
+	if !out.Open {
+		return nil, out
+	}
+	return tx, out
+}
+
+// Rollback implements Transaction.
+func (tx *localTransaction) Rollback() {
+	c := tx.conn
+	tx.conn = nil
+	if c == nil {
+		return
+	}
+	tx.Pool.BeginStatement(c)
+	a, err := tx.roundTrip(c, time.Now().Add(rollbackTimeout), stmt.Statement{Kind: stmt.Rollback})
+	clean := err == nil && a.State == stmt.Idle
+	if err == nil {
+		tx.Pool.EndStatement(c, a, nil)
+	}
+	tx.Pool.Release(c, clean)
+}
+
+// rollbackTimeout bounds the wait for a rollback. After it the connection is closed,
+// which rolls the transaction back as well.
+const rollbackTimeout = 300 * time.Millisecond
+
+// beginAtEndpoint gets a connection for the transaction and begins it there. If that
+// fails, it returns the answer for the client and false.
+func (tx *localTransaction) beginAtEndpoint(ex *execution) (stmt.Answer, bool) {
+	l := tx.Local
 	for {
-		c, minPosition, refusal := s.acquire(ex, tx.readOnly)
+		c, minPosition, refusal := l.acquire(ex, tx.readOnly)
 		if c == nil {
 			return refusal, false
 		}
-		setup := append(s.connSetup(c, q, false), stmt.Statement{Kind: stmt.Begin, ReadOnly: tx.readOnly, MinPosition: minPosition})
-		a, err := s.roundTrip(c, ex.deadline, setup...)
+		setup := append(connSetup(c, ex.Operation, false), stmt.Statement{Kind: stmt.Begin, ReadOnly: tx.readOnly, MinPosition: minPosition})
+		a, err := l.roundTrip(c, ex.deadline, setup...)
 		if err == nil && a.Code == stmt.OK {
 			tx.conn = c
 			return a, true
 		}
 		ex.avoid = c.Endpoint()
 		if err == nil {
-			s.engine.Pool.EndStatement(c, a, nil)
+			l.Pool.EndStatement(c, a, nil)
 		}
-		s.engine.Pool.Release(c, err == nil && a.State == stmt.Idle)
-		if !ex.mayRetry(s.engine.Clock.Now()) {
+		l.Pool.Release(c, err == nil && a.State == stmt.Idle)
+		if !ex.mayRetry(l.Clock.Now()) {
 			return stmt.Answer{Code: stmt.Busy, Text: "no endpoint could begin the transaction; try again later"}, false
 		}
-		s.engine.Metrics.Count(`retries{why="` + retryReason(a, err) + `"}`)
+		l.Metrics.Count(`retries{why="` + retryReason(a, err) + `"}`)
 		if err != nil || a.Code != stmt.Lagging {
 			pauseBeforeRetry()
 		}
 	}
 }
 
-// runInTransaction runs a statement of the open transaction, or its commit.
-func (s *session) runInTransaction(q stmt.Statement, start time.Duration) stmt.Answer {
-	tx := s.tx
-	writes, commit := s.isWrite(q), q.Kind == stmt.Commit
-	ex := s.newExecution(tx.route, tx.account, start, statementClass{database: s.database, write: writes, commit: commit})
+// Run implements Transaction.
+func (tx *localTransaction) Run(op *Operation) Outcome {
+	out := Outcome{LastCommit: op.LastCommit}
+	out.Answer = tx.run(op, &out)
+	return out
+}
+
+// run runs a statement of the transaction, or its commit, and returns the answer to
+// it.
+func (tx *localTransaction) run(op *Operation, out *Outcome) stmt.Answer {
+	l := tx.Local
+	writes, commit := op.Writes(), op.Statement.Kind == stmt.Commit
+	ex := l.newExecution(op)
 	for {
 		first := tx.conn == nil
 		if first {
-			if a, ok := s.beginAtEndpoint(q, ex); !ok {
-				tx.failed = true
+			if a, ok := tx.beginAtEndpoint(ex); !ok {
 				return a
 			}
 		} else {
-			s.engine.Pool.BeginStatement(tx.conn)
+			l.Pool.BeginStatement(tx.conn)
 		}
-		a, sent, err := s.send(tx.conn, q, fleet.LogPosition{}, ex, ex.deadline)
+		a, sent, err := l.send(tx.conn, fleet.LogPosition{}, ex, ex.deadline, true)
 		c := tx.conn
 		switch {
 		case err == nil && a.Code == stmt.OK && a.Signature != "":
-			if commit && tx.wrote && !s.engine.Pool.MaySend(c) {
+			if commit && tx.wrote && !l.Pool.MaySend(c) {
 				tx.conn = nil
-				s.engine.Pool.Release(c, false)
+				l.Pool.Release(c, false)
 				return stmt.Answer{Code: stmt.InDoubt, Text: "the primary was replaced meanwhile; check before repeating"}
 			}
 			if commit {
-				s.recordCommit(c, a, tx.wrote)
+				out.LastCommit = op.lastCommit(c, a, tx.wrote)
 				tx.conn = nil
-				s.engine.Pool.Release(c, a.State == stmt.Idle)
+				l.Pool.Release(c, a.State == stmt.Idle)
 			}
-			tx.wrote = tx.wrote || writes
-			s.recordServed(q, c, ex, fleet.LogPosition{})
+			tx.wrote, out.Open = tx.wrote || writes, !commit
+			l.recordServed(c, ex, fleet.LogPosition{})
 			return a
 		case err != nil || a.Code == stmt.OK:
 			tx.conn = nil
-			s.engine.Pool.Release(c, false)
+			l.Pool.Release(c, false)
 			if commit && tx.wrote && sent {
 				return stmt.Answer{Code: stmt.InDoubt, Text: "the answer to the commit was lost; check before repeating"}
 			}
-			if first && !sent && ex.mayRetry(s.engine.Clock.Now()) {
+			if first && !sent && ex.mayRetry(l.Clock.Now()) {
 				continue
 			}
-			tx.failed = true
 			return stmt.Answer{Code: stmt.Aborted, Text: "the connection of the transaction was lost; it is rolled back"}
-		case a.Code.NotRun() && a.Code != stmt.ReadOnly && a.State == stmt.InTransaction && ex.mayRetry(s.engine.Clock.Now()):
+		case a.Code.NotRun() && a.Code != stmt.ReadOnly && a.State == stmt.InTransaction && ex.mayRetry(l.Clock.Now()):
 			ex.attempts++
 			pauseBeforeRetry()
-		case first && !commit && (a.Code.NotRun() || a.Code == stmt.Failed && !writes) && ex.mayRetry(s.engine.Clock.Now()):
+		case first && !commit && (a.Code.NotRun() || a.Code == stmt.Failed && !writes) && ex.mayRetry(l.Clock.Now()):
 			// At most a read of the transaction has run, so it may begin again at
 			// another endpoint.
 			ex.avoid = c.Endpoint()
-			s.rollbackAndRelease()
+			tx.Rollback()
 		case a.Code.NotRun():
-			s.rollbackAndRelease()
-			tx.failed = true
+			tx.Rollback()
 			return stmt.Answer{Code: stmt.Aborted, Text: "the endpoint refused it (" + a.Code.String() + "); the transaction is rolled back"}
 		case commit && tx.wrote && a.Code == stmt.Timeout:
 			tx.conn = nil
-			s.engine.Pool.Release(c, false)
+			l.Pool.Release(c, false)
 			return stmt.Answer{Code: stmt.InDoubt, Text: "the commit ran out of time; check before repeating"}
 		default:
-			s.rollbackAndRelease()
-			tx.failed = true
+			tx.Rollback()
 			return a
 		}
 	}
