--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -5,6 +5,7 @@
 package catalog
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillahinge/vanillahinge/core/fleet"
@@ -128,12 +129,32 @@
 	Settled bool
 	// Planned marks a change that waits for open transactions and loses no commit.
 	Planned bool
+	// Users are the instances that may send statements to the primary, and that have
+	// to confirm a change. They are in ascending order.
+	Users []fleet.InstanceID `json:",omitempty"`
+}
+
+// Equal reports whether two records are the same.
+func (l Leadership) Equal(o Leadership) bool {
+	return slices.Equal(l.Users, o.Users) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary &&
+		l.Former == o.Former && l.Holder == o.Holder && l.Settled == o.Settled && l.Planned == o.Planned
+}
+
+// WithUser returns the record with another user.
+func (l Leadership) WithUser(id fleet.InstanceID) Leadership {
+	if i, found := slices.BinarySearch(l.Users, id); !found {
+		l.Users = slices.Insert(slices.Clone(l.Users), i, id)
+	}
+	return l
 }
 
 // Member is an instance of the fleet.
 type Member struct {
 	ID         fleet.InstanceID
 	DataCentre fleet.DataCentre
-	// Addr is the host:port at which the instance serves calls from other instances.
-	Addr string
+	// Addr is the host:port at which the instance serves calls from other instances,
+	// ForwardAddr the one at which it runs their statements.
+	Addr, ForwardAddr string
+	// Capacity is the processor share of the instance's machine, in cores.
+	Capacity float64
 }
--- a/core/fleet/rank.go
+++ b/core/fleet/rank.go
@@ -28,26 +28,6 @@
 	return ranked
 }
 
-// Place returns the position of id in the order that Rank computes, without
-// sorting. It returns len(ids) if ids lacks id.
-func Place(key string, id InstanceID, ids []InstanceID) int {
-	own := score(key, id)
-	before, found := 0, false
-	for _, other := range ids {
-		if other == id {
-			found = true
-			continue
-		}
-		if s := score(key, other); s > own || s == own && other < id {
-			before++
-		}
-	}
-	if !found {
-		return len(ids)
-	}
-	return before
-}
-
 // First returns the first of the order that Rank computes, without sorting. It
 // returns "" if ids is empty.
 func First(key string, ids []InstanceID) InstanceID {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -25,9 +25,9 @@
 const (
 	// readerCount is how many instances read the store. With two, one may fail.
 	readerCount = 2
-	// maxSources is how many instances of its data centre, and how many of the whole
+	// MaxSources is how many instances of its data centre, and how many of the whole
 	// fleet, an instance tries before it reads the store itself.
-	maxSources = 2
+	MaxSources = 2
 	// HeardFor is how long an instance counts as heard after it has asked for changes
 	// or been answered. An instance asks again at once, and each call is answered
 	// within MaxHold.
@@ -79,10 +79,10 @@
 			continue
 		}
 		preceding++
-		if m.DataCentre == self.DataCentre && len(local) < maxSources {
+		if m.DataCentre == self.DataCentre && len(local) < MaxSources {
 			local = append(local, m.ID)
 		}
-		if len(global) < maxSources {
+		if len(global) < MaxSources {
 			global = append(global, m.ID)
 		}
 	}
@@ -173,13 +173,13 @@
 const rootGrace = MaxHold + HeardFor + 300*time.Millisecond
 
 // Absent returns, at the root, the members other than self that nobody has heard, in
-// ascending order. ok is false while this instance cannot tell: it is not the root, or
-// has been for too short a time.
+// ascending order. ok is false while this instance cannot tell: it is not the root, has
+// been for too short a time, or hears too few to speak for the fleet.
 func (p *Presence) Absent(now time.Duration, self fleet.InstanceID, members []Member) (absent []fleet.InstanceID, ok bool) {
-	if !p.hasRoot || now < p.rootSince+rootGrace {
+	heard := p.Heard(now)
+	if !p.hasRoot || now < p.rootSince+rootGrace || !Quorum(len(heard)+1, len(members)) {
 		return nil, false
 	}
-	heard := p.Heard(now)
 	for _, m := range members {
 		if _, found := slices.BinarySearch(heard, m.ID); !found && m.ID != self {
 			absent = append(absent, m.ID)
--- a/core/takeover/safety_test.go
+++ b/core/takeover/safety_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,12 +13,22 @@
 	"github.com/vanillahinge/vanillahinge/core/lease"
 )
 
+// record is the leadership record of the model's group.
+type record struct {
+	version int
+	// change numbers the changes of primary.
+	change int
+	users  []fleet.InstanceID
+}
+
+func (r record) hasUser(id fleet.InstanceID) bool { return slices.Contains(r.users, id) }
+
 // node is an instance in the model. Its lease is the production code.
 type node struct {
-	id           fleet.InstanceID
-	running      bool
-	knownVersion int // version of the leadership record that it acts on
-	lease        *lease.Lease
+	id      fleet.InstanceID
+	running bool
+	known   record // the record that it acts on
+	lease   *lease.Lease
 	// started is when its process started. The times of the lease count from then.
 	started time.Duration
 	// storeCut and peersCut are set if it cannot reach the store or the other
@@ -28,21 +39,21 @@
 // message is a call in flight. It may be served and answered at any later time, which
 // also models a holder or a peer that is paused in between.
 type message struct {
-	kind         string // read, call or confirm
-	from, to     int
-	start        time.Duration
-	served       bool
-	knownVersion int
-	proofAge     time.Duration
-	hasProof     bool
-	refused      bool
-	incarnation  int
+	kind        string // read, call or confirm
+	from, to    int
+	start       time.Duration
+	served      bool
+	known       record
+	proofAge    time.Duration
+	hasProof    bool
+	refused     bool
+	incarnation int
 }
 
 type model struct {
 	rng          *rand.Rand
 	now          time.Duration
-	storeVersion int // version in the store
+	stored       record // the record in the store
 	storeUp      bool
 	nodes        []*node
 	incarnations []int
@@ -53,15 +64,17 @@
 	holder    int
 	claimed   time.Duration
 	confirmed []Confirmation
-	// effectiveVersion is the newest version whose change has taken effect, and
-	// effectiveChanges the number of changes that have.
-	effectiveVersion int
+	// effectiveChange is the newest change that has taken effect, and effectiveChanges
+	// the number of changes that have.
+	effectiveChange  int
 	effectiveChanges int
 	effectiveAt      func(claimed time.Duration, members []Confirmation) (time.Duration, bool)
+	// abandoned is set while a change has been claimed and its holder was restarted.
+	abandoned bool
 	// moreFaults makes disconnections and restarts three times as frequent.
 	moreFaults bool
 	// Mutations of the rules.
-	proveAtReadEnd, ignorePeerProofAge, acceptProofBeforeStart bool
+	proveAtReadEnd, ignorePeerProofAge, acceptProofBeforeStart, sendWithoutRegistration, joinDuringChange bool
 }
 
 func newModel(seed uint64, n int) *model {
@@ -72,12 +85,20 @@
 		m.nodes = append(m.nodes, &node{id: id, running: true, lease: lease.New()})
 		m.incarnations = append(m.incarnations, 0)
 	}
+	m.stored = record{version: 1, users: slices.Clone(m.ids)}
 	return m
 }
 
+// learn adopts a record if it is newer than the known one.
+func (n *node) learn(r record) {
+	if r.version > n.known.version {
+		n.known = r
+	}
+}
+
 // maySend reports whether a node may send to the primary of the version that it knows.
 func (m *model) maySend(n *node) bool {
-	return n.running && m.now < n.lease.Expiry(n.id, m.ids)+n.started
+	return n.running && (n.known.hasUser(n.id) || m.sendWithoutRegistration) && m.now < n.lease.Expiry(n.id, n.known.users)+n.started
 }
 
 // step performs one random action and returns a description of a violation, or "".
@@ -85,7 +106,7 @@
 	m.now += time.Duration(m.rng.IntN(60)) * time.Millisecond
 	i := m.rng.IntN(len(m.nodes))
 	n := m.nodes[i]
-	switch m.rng.IntN(12) {
+	switch m.rng.IntN(15) {
 	case 0, 1:
 		if n.running {
 			m.messages = append(m.messages, &message{kind: "read", from: i, start: m.now, incarnation: m.incarnations[i]})
@@ -95,16 +116,28 @@
 			m.messages = append(m.messages, &message{kind: "call", from: i, to: j, start: m.now, incarnation: m.incarnations[i]})
 		}
 	case 4:
-		if n.running && !n.storeCut && m.storeUp && n.knownVersion == m.storeVersion && m.holder < 0 {
-			m.storeVersion++
-			n.knownVersion = m.storeVersion
+		if n.running && !n.storeCut && m.storeUp && n.known.version == m.stored.version && m.holder < 0 {
+			m.stored.version++
+			m.stored.change++
+			n.known = m.stored
 			m.holder, m.claimed = i, m.now
-			m.confirmed = make([]Confirmation, len(m.nodes))
-			m.confirmed[i] = Confirmation{Member: n.id, Confirmed: true, At: m.now}
+			m.confirmed = make([]Confirmation, len(m.stored.users))
+			for k, id := range m.stored.users {
+				m.confirmed[k] = Confirmation{Member: id, Confirmed: id == n.id, At: m.now}
+			}
+		}
+	case 10, 11, 12:
+		// Registration as a user: a conditional write that succeeds only while no
+		// change is in progress.
+		if n.running && !n.storeCut && m.storeUp && n.known.version == m.stored.version && (m.holder < 0 && !m.abandoned || m.joinDuringChange) && !m.stored.hasUser(n.id) {
+			m.stored.version++
+			m.stored.users = append(slices.Clone(m.stored.users), n.id)
+			n.known = m.stored
 		}
 	case 5:
 		if j := m.rng.IntN(len(m.nodes)); m.holder >= 0 && j != m.holder {
-			m.messages = append(m.messages, &message{kind: "confirm", from: m.holder, to: j, start: m.now, incarnation: m.incarnations[m.holder]})
+			m.messages = append(m.messages, &message{kind: "confirm", from: m.holder, to: j, start: m.now, incarnation: m.incarnations[m.holder],
+				known: m.nodes[m.holder].known})
 		}
 	case 6:
 		if m.rng.IntN(12) == 0 {
@@ -123,9 +156,9 @@
 		case 2:
 			n.running = !n.running
 			m.incarnations[i]++
-			n.knownVersion, n.lease, n.started = 0, lease.New(), m.now // a new process knows nothing
+			n.known, n.lease, n.started = record{}, lease.New(), m.now // a new process knows nothing
 			if m.holder == i {
-				m.holder = -1 // abandoned
+				m.holder, m.abandoned = -1, true
 			}
 		}
 	default:
@@ -133,13 +166,22 @@
 	}
 	if m.holder >= 0 {
 		if at, ok := m.effectiveAt(m.claimed, m.confirmed); ok && m.now >= at {
-			m.effectiveVersion, m.holder = m.storeVersion, -1
+			m.effectiveChange, m.holder, m.abandoned = m.stored.change, -1, false
 			m.effectiveChanges++
+			// The settled record keeps only the users that have confirmed.
+			m.stored.version++
+			var users []fleet.InstanceID
+			for _, c := range m.confirmed {
+				if c.Confirmed {
+					users = append(users, c.Member)
+				}
+			}
+			m.stored.users = users
 		}
 	}
 	for _, n := range m.nodes {
-		if n.knownVersion < m.effectiveVersion && m.maySend(n) {
-			return fmt.Sprintf("%v: %s may use the primary of version %d after version %d has taken effect", m.now, n.id, n.knownVersion, m.effectiveVersion)
+		if n.known.change < m.effectiveChange && m.maySend(n) {
+			return fmt.Sprintf("%v: %s may use the primary of change %d after change %d has taken effect", m.now, n.id, n.known.change, m.effectiveChange)
 		}
 	}
 	return ""
@@ -167,16 +209,16 @@
 				drop()
 				return
 			}
-			q.knownVersion = m.storeVersion
+			q.known = m.stored
 		case from.peersCut || to.peersCut:
 			drop()
 		case !to.running:
 			q.refused = true
 		default:
 			if q.kind == "confirm" {
-				to.knownVersion = max(to.knownVersion, m.storeVersion)
+				to.learn(q.known)
 			}
-			q.knownVersion = to.knownVersion
+			q.known = to.known
 			if at, ok := to.lease.Proof(); ok {
 				q.proofAge, q.hasProof = m.now-to.started-at, true
 			}
@@ -186,7 +228,7 @@
 	drop()
 	switch q.kind {
 	case "read":
-		from.knownVersion = max(from.knownVersion, q.knownVersion)
+		from.learn(q.known)
 		at := q.start
 		if m.proveAtReadEnd {
 			at = m.now
@@ -196,7 +238,7 @@
 		if q.refused {
 			return
 		}
-		from.knownVersion = max(from.knownVersion, q.knownVersion)
+		from.learn(q.known)
 		from.lease.AddPeerResponse(m.ids[q.to], q.start-from.started, q.hasProof)
 		if q.hasProof {
 			at := q.start - q.proofAge
@@ -210,10 +252,11 @@
 		}
 	case "confirm":
 		// A confirmation counts only for the change for which it was requested.
-		if m.holder == q.from && (q.refused && q.start >= m.claimed || !q.refused && q.knownVersion >= m.storeVersion) {
-			m.confirmed[q.to] = Confirmation{Member: m.ids[q.to], Confirmed: true, At: m.now}
+		k := slices.IndexFunc(m.confirmed, func(c Confirmation) bool { return c.Member == m.ids[q.to] })
+		if k >= 0 && m.holder == q.from && (q.refused && q.start >= m.claimed || !q.refused && q.known.version >= m.stored.version) {
+			m.confirmed[k] = Confirmation{Member: m.ids[q.to], Confirmed: true, At: m.now}
 			if q.refused {
-				m.confirmed[q.to].At = q.start
+				m.confirmed[k].At = q.start
 			}
 		}
 	}
@@ -276,6 +319,8 @@
 		"proof dated at the end of a read":   func(m *model) { m.proveAtReadEnd = true },
 		"proof from before the start counts": func(m *model) { m.acceptProofBeforeStart = true },
 		"age of a peer's proof ignored":      func(m *model) { m.ignorePeerProofAge = true },
+		"sending without registration":       func(m *model) { m.sendWithoutRegistration = true },
+		"registration during a change":       func(m *model) { m.joinDuringChange = true },
 	} {
 		v, _ := runSeeds(10000, 1500, 5, setup)
 		t.Logf("%s: %s", name, v)
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -194,12 +194,12 @@
 	k, err := link.Start("", store, 0)
 	assert.NilError(w.t, err)
 	w.t.Cleanup(func() { _ = k.Close() })
-	port := 21000 + (os.Getpid()*31+int(seed)*instances*4+i*4)%9000
-	in := &instance{name: fmt.Sprintf("edge-%d", i), caller: fmt.Sprintf("127.0.0.1:%d", port+2), store: k,
+	port := 21000 + (os.Getpid()*31+int(seed)*instances*5+i*5)%9000
+	in := &instance{name: fmt.Sprintf("edge-%d", i), caller: fmt.Sprintf("127.0.0.1:%d", port+3), store: k,
 		settings: filepath.Join(dir, fmt.Sprintf("edge-%d.json", i))}
 	raw, err := json.Marshal(map[string]any{"node_name": in.name, "ip": "127.0.0.1", "zone": fmt.Sprintf("z%d", i+1),
-		"listen":         map[string]any{"front": in.caller, "ready": fmt.Sprintf("127.0.0.1:%d", port+3)},
-		"internal_ports": []int{port, port + 1}, "bounds": map[string]any{"grace_s": 3, "quota_window_s": 5,
+		"listen":         map[string]any{"front": in.caller, "ready": fmt.Sprintf("127.0.0.1:%d", port+4)},
+		"internal_ports": []int{port, port + 2}, "bounds": map[string]any{"grace_s": 3, "quota_window_s": 5,
 			"quota_overshoot": 0.1, "quota_slack": 20, "config_apply_ms": 3000},
 		"platform": map[string]any{"addr": k.Addr()}, "cloud": map[string]any{"addr": promoter}})
 	assert.NilError(w.t, err)
--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -26,6 +26,7 @@
 	"github.com/vanillahinge/vanillahinge/edge/control"
 	"github.com/vanillahinge/vanillahinge/edge/engine"
 	"github.com/vanillahinge/vanillahinge/edge/executor"
+	"github.com/vanillahinge/vanillahinge/edge/forward"
 	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
 	"github.com/vanillahinge/vanillahinge/edge/pool"
 	"github.com/vanillahinge/vanillahinge/edge/telemetry"
@@ -86,7 +87,10 @@
 	pool     *pool.Pool
 	control  *control.Controller
 	engine   *engine.Engine
-	stopping atomic.Bool
+	// forwarder sends statements to other instances, forwardServer runs theirs.
+	forwarder     *forward.Forwarder
+	forwardServer *forward.Server
+	stopping      atomic.Bool
 	// drained is closed once no session is left. Until then the HTTP listeners stay
 	// open: other instances treat one that refuses connections as not running.
 	drained chan struct{}
@@ -130,14 +134,17 @@
 	a.pool = pool.New(clk, dialer{}, log, metrics, s.DataCentre)
 	limiter := control.NewLimiter(clk, metrics, s.FirstStart, s.Quota)
 	a.control = control.New(control.Config{
-		Self:  catalog.Member{ID: s.Instance, DataCentre: s.DataCentre, Addr: s.PeerAddr},
+		Self: catalog.Member{ID: s.Instance, DataCentre: s.DataCentre, Addr: s.PeerAddr,
+			ForwardAddr: s.ForwardAddr, Capacity: s.Capacity},
 		Clock: clk, Store: a.store, Promoter: a.promoter, Dialer: dialer{}, Pool: a.pool, Limiter: limiter, Log: log, Metrics: metrics,
 		Schema: control.Schema{OperatorTable: platform.OperatorTable, EndpointTable: platform.EndpointTable, FleetTable: platform.FleetTable,
 			ConfigKey: platform.ConfigKey, DecodeCatalog: platform.DecodeCatalog, DecodeEndpoint: platform.DecodeEndpoint,
 			DecodeState: platform.DecodeEndpointState},
 	})
 	local := &executor.Local{Clock: clk, Pool: a.pool, Log: log, Metrics: metrics}
-	a.engine = &engine.Engine{Clock: clk, View: a.control.View, Executor: local, Admission: limiter,
+	a.forwarder = forward.New(clk, local, a.control, log, metrics)
+	a.forwardServer = &forward.Server{Clock: clk, Executor: local, Log: log, Metrics: metrics}
+	a.engine = &engine.Engine{Clock: clk, View: a.control.View, Executor: a.forwarder, Admission: limiter,
 		Errors: platform.ErrorClassifier{}, Log: log, Metrics: metrics}
 	return a
 }
@@ -151,6 +158,7 @@
 	defer cancel()
 	go a.control.Run(ctx)
 	go a.pool.MonitorEndpoints(ctx)
+	go a.forwarder.Watch(ctx)
 	go a.watchSettings(ctx)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", a.metrics)
@@ -162,6 +170,7 @@
 			newHTTP("peers", a.settings.PeerAddr, peerrpc.Handler(a.control), a.drained),
 			newHTTP("metrics", a.settings.MetricsAddr, metricsMux, a.drained),
 			newHTTP("readiness", a.settings.ReadyAddr, platform.ReadyHandler(a.ready), a.drained),
+			&forwardListener{a: a},
 			&clientListener{a: a},
 		),
 	)
@@ -246,14 +255,45 @@
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	defer close(c.a.drained)
+	transactionDeadline := time.Now().Add(within / 2)
 	c.a.control.HandOffAccounts(ctx)
+	c.a.forwardServer.Leave()
 	c.a.engine.Shutdown(ctx, within)
+	c.a.forwardServer.Drain(ctx, transactionDeadline)
 	if l := c.l.Load(); l != nil {
 		return (*l).Close()
 	}
 	return nil
 }
 
+// forwardListener is the listener for the statements of other instances as a kratos
+// server.
+type forwardListener struct {
+	a *app
+	l atomic.Pointer[net.Listener]
+}
+
+// Start accepts streams until Stop.
+func (f *forwardListener) Start(context.Context) error {
+	l, err := net.Listen("tcp", f.a.settings.ForwardAddr)
+	if err != nil {
+		return fmt.Errorf("app: listen for statements of other instances: %w; check internal_ports in the settings", err)
+	}
+	f.l.Store(&l)
+	return f.a.forwardServer.Serve(l)
+}
+
+// Stop closes the listener and the streams once no session is left and no forwarded
+// statement runs.
+func (f *forwardListener) Stop(context.Context) error {
+	<-f.a.drained
+	f.a.forwardServer.Close()
+	if l := f.l.Load(); l != nil {
+		return (*l).Close()
+	}
+	return nil
+}
+
 // httpServer is an HTTP server as a kratos server.
 type httpServer struct {
 	name    string
--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -97,11 +97,11 @@
 // startInstance runs an instance and waits until it is ready and may use primaries.
 func (f *testFleet) startInstance(name string, firstStart bool) (a *app, stop func()) {
 	t := f.t
-	port := freePorts(t, 4)
+	port := freePorts(t, 5)
 	settings := map[string]any{
 		"node_name": name, "ip": "127.0.0.1", "zone": "z1", "bootstrap": firstStart,
-		"listen":         map[string]any{"front": fmt.Sprintf("127.0.0.1:%d", port+2), "ready": fmt.Sprintf("127.0.0.1:%d", port+3)},
-		"internal_ports": []int{port, port + 1},
+		"listen":         map[string]any{"front": fmt.Sprintf("127.0.0.1:%d", port+3), "ready": fmt.Sprintf("127.0.0.1:%d", port+4)},
+		"internal_ports": []int{port, port + 2},
 		"bounds": map[string]any{"grace_s": 2, "config_apply_ms": 3000, "quota_window_s": 5, "quota_overshoot": 0.1,
 			"quota_slack": 20},
 		"platform": map[string]any{"addr": f.storeAddr}, "cloud": map[string]any{"addr": f.promoterAddr},
@@ -131,7 +131,7 @@
 		})
 	}
 	t.Cleanup(stop)
-	f.waitUntil(5*time.Second, func() bool { return a.ready() && a.pool.LeaseValid() })
+	f.waitUntil(5*time.Second, func() bool { return a.ready() && a.pool.LeaseValid("bookings") })
 	return a, stop
 }
 
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -69,7 +69,7 @@
 	ch.publishSettledRecord(ctx)
 }
 
-// peersConfirmUnreachable asks the other instances whether they reach the
+// peersConfirmUnreachable asks some other instances whether they reach the
 // primary and reports whether enough of them do not.
 func (c *Controller) peersConfirmUnreachable(ctx context.Context, old catalog.Leadership, addr string) bool {
 	call, cancel := context.WithTimeout(ctx, peerCallTimeout)
@@ -77,7 +77,11 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	reachable, unreachable := 0, 0
-	for _, p := range c.peerList(ctx) {
+	var witnesses []fleet.InstanceID
+	if c.runInLoop(ctx, func() { witnesses = c.witnesses(old.Group) }) != nil {
+		return false
+	}
+	for _, p := range c.peerList(ctx, witnesses) {
 		wg.Go(func() {
 			res, err := p.client.Reach(call, &peerrpc.ReachRequest{Endpoint: old.Primary, Addr: addr})
 			mu.Lock()
@@ -99,11 +103,14 @@
 	return ok
 }
 
-func (c *Controller) peerList(ctx context.Context) []*peer {
+// peerList returns those of the given instances that are other members.
+func (c *Controller) peerList(ctx context.Context, ids []fleet.InstanceID) []*peer {
 	var out []*peer
 	if err := c.runInLoop(ctx, func() {
-		for _, p := range c.peers {
-			out = append(out, p)
+		for _, id := range ids {
+			if p := c.peers[id]; p != nil {
+				out = append(out, p)
+			}
 		}
 	}); err != nil {
 		return nil
@@ -135,7 +142,7 @@
 	c, old := ch.ctl, ch.old
 	l := catalog.Leadership{
 		Group: old.Group, Version: old.Version, Term: max(old.Term, c.Pool.Term(old.Group)) + 1, Former: old.Primary,
-		Holder: c.Self.ID, Planned: ch.cause == takeover.Leaving || ch.cause == takeover.Gone,
+		Holder: c.Self.ID, Planned: ch.cause == takeover.Leaving || ch.cause == takeover.Gone, Users: old.Users,
 	}
 	if !old.Settled {
 		// The primary from before the unfinished change may still be in use.
@@ -203,10 +210,7 @@
 // primary, see takeover.EffectiveAt.
 func (ch *primaryChange) awaitOldPrimaryUnused(ctx context.Context) bool {
 	c := ch.ctl
-	var ids []fleet.InstanceID
-	if c.runInLoop(ctx, func() { ids = c.memberIDs() }) != nil {
-		return false
-	}
+	ids := ch.record.Users
 	var mu sync.Mutex
 	state := make([]takeover.Confirmation, len(ids))
 	for i, id := range ids {
@@ -222,8 +226,18 @@
 		at, ok := takeover.EffectiveAt(ch.claimedAt, state)
 		mu.Unlock()
 		if ok && c.Clock.Now() >= at {
-			c.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group),
-				"after_ms", (c.Clock.Now() - ch.claimedAt).Milliseconds())
+			// A user that has not confirmed registers again when it answers.
+			mu.Lock()
+			var confirmed []fleet.InstanceID
+			for _, s := range state {
+				if s.Confirmed {
+					confirmed = append(confirmed, s.Member)
+				}
+			}
+			mu.Unlock()
+			c.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group), "users", len(ids),
+				"confirmed", len(confirmed), "after_ms", (c.Clock.Now() - ch.claimedAt).Milliseconds())
+			ch.record.Users = confirmed
 			return true
 		}
 		if !ch.claimValid(ctx) {
@@ -508,7 +522,7 @@
 	if c.runInLoop(ctx, func() { c.adoptLeadership(ch.record); c.publishView() }) != nil {
 		return
 	}
-	for _, p := range c.peerList(ctx) {
+	for _, p := range c.peerList(ctx, ch.record.Users) {
 		go func() {
 			call, cancel := context.WithTimeout(ctx, confirmTimeout)
 			defer cancel()
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -23,6 +23,7 @@
 	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/core/takeover"
 	"github.com/vanillahinge/vanillahinge/edge/clock"
+	"github.com/vanillahinge/vanillahinge/edge/forward"
 	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
 	"github.com/vanillahinge/vanillahinge/edge/pool"
 	"github.com/vanillahinge/vanillahinge/edge/telemetry"
@@ -71,6 +72,8 @@
 	// storeRecovered is closed when a feed reaches the store again after a failure.
 	storeRecovered atomic.Pointer[chan struct{}]
 	repoll         atomic.Pointer[repollScope]
+	// keepersByGroup holds the keepers of each group; see forward.Directory.
+	keepersByGroup atomic.Pointer[map[fleet.GroupID][]forward.Keeper]
 
 	// ctx is cancelled when Run returns.
 	ctx context.Context
@@ -103,7 +106,13 @@
 	// changed is closed when there is news for the instances that follow this one.
 	changed chan struct{}
 	lease   *lease.Lease
-	expiry  time.Duration
+	// leases holds when the lease on each group's primary expires.
+	leases map[fleet.GroupID]time.Duration
+	// keeperOrder caches the order of package placement for each group; nil if it has
+	// to be computed again. groupDataCentres holds the data centres in which an
+	// endpoint of the group has been listed.
+	keeperOrder      map[fleet.GroupID][]fleet.InstanceID
+	groupDataCentres map[fleet.GroupID]map[fleet.DataCentre]bool
 	// leaving is set once this instance shuts down; stopping is its copy for other
 	// goroutines.
 	leaving  bool
@@ -149,16 +158,22 @@
 	// changeStartedAt is when this instance last began a change. A change for an
 	// unreachable primary begins by asking the other instances about it.
 	changeStartedAt time.Duration
+	// joining is set while this instance registers as a user of the primary. nextJoin
+	// is when it may try again, and joinRequestedAt when a statement last needed it.
+	joining                   bool
+	nextJoin, joinRequestedAt time.Duration
+	// holderCheckedAt is when this instance last called the holder of a change.
+	holderCheckedAt time.Duration
 }
 
 // peer is the state of another instance of the fleet.
 type peer struct {
 	catalog.Member
 	client *peerrpc.Peer
-	// Until avoidUntil the instance counts as unreachable, because a call to it
-	// failed. notRunning is set if its address refused a connection.
-	avoidUntil time.Duration
-	notRunning bool
+	// down is set after a call to the instance has failed, until one succeeds. It is
+	// probed at probeAt. notRunning is set if its address refused the connection.
+	down, notRunning bool
+	probeAt          time.Duration
 	// Until staleUntil another instance is preferred, because this one had no recent
 	// proof.
 	staleUntil time.Duration
@@ -180,13 +195,16 @@
 		listed: map[fleet.EndpointID]catalog.Endpoint{}, unlisted: map[fleet.EndpointID]time.Duration{},
 		lastEntries: map[fleet.EndpointID]catalog.Endpoint{}, groups: map[fleet.GroupID]*group{},
 		members: map[fleet.InstanceID]catalog.Member{}, peers: map[fleet.InstanceID]*peer{}, lease: lease.New(),
+		leases: map[fleet.GroupID]time.Duration{}, groupDataCentres: map[fleet.GroupID]map[fleet.DataCentre]bool{},
 		memberRows: map[string]memberRow{}, presence: relay.NewPresence(), changed: make(chan struct{}),
 	}
 	for _, name := range []string{c.Schema.OperatorTable, c.Schema.EndpointTable, c.Schema.FleetTable} {
 		ctl.tables[name] = &table{rows: map[string]kvstore.Row{}, deleted: map[string]kvstore.Row{}}
 	}
 	c.Limiter.onHomeGone = ctl.handleHomeGone
+	c.Pool.OnNoLease(ctl.requestJoin)
 	ctl.view.Store(&view.View{})
+	ctl.keepersByGroup.Store(&map[fleet.GroupID][]forward.Keeper{})
 	recovered := make(chan struct{})
 	ctl.storeRecovered.Store(&recovered)
 	ctl.repoll.Store(newRepollScope())
@@ -243,6 +261,7 @@
 			f()
 		case <-t.C:
 			c.updateRole(c.Clock.Now())
+			c.probeDownPeers(ctx, c.Clock.Now())
 			c.evaluatePrimaries(ctx)
 		}
 	}
@@ -345,6 +364,13 @@
 			continue
 		}
 		c.listed[e.ID] = e
+		if c.groupDataCentres[e.Group] == nil {
+			c.groupDataCentres[e.Group] = map[fleet.DataCentre]bool{}
+		}
+		if !c.groupDataCentres[e.Group][e.DataCentre] {
+			c.groupDataCentres[e.Group][e.DataCentre] = true
+			c.keeperOrder = nil
+		}
 		c.lastEntries[e.ID] = e
 		delete(c.unlisted, e.ID)
 		if old, known := before[e.ID]; !known || old != e {
@@ -420,6 +446,7 @@
 		}
 	}
 	c.order = relay.Order(members)
+	c.keeperOrder = nil
 	c.assignHomes()
 }
 
@@ -515,7 +542,7 @@
 		return
 	}
 	v := &view.View{Catalog: c.catalog, Endpoints: map[fleet.GroupID][]catalog.Endpoint{},
-		Leaders: map[fleet.GroupID]catalog.Leadership{}, MemberCount: max(1, len(c.members))}
+		Leaders: map[fleet.GroupID]catalog.Leadership{}, Sharers: map[fleet.GroupID]int{}}
 	for _, e := range c.listed {
 		v.Endpoints[e.Group] = append(v.Endpoints[e.Group], e)
 	}
@@ -529,26 +556,36 @@
 	}
 	for id := range c.catalog.Groups {
 		v.Leaders[id] = c.leadership(id)
+		v.Sharers[id] = 1
+		if c.keepsOwn(id) {
+			v.Sharers[id] = max(1, len(c.members))
+		}
 	}
 	c.view.Store(v)
 	c.Pool.SetView(v)
+	c.publishPlacement()
 }
 
-// memberIDs returns the ids of the members in ascending order.
-func (c *Controller) memberIDs() []fleet.InstanceID {
-	return slices.Sorted(maps.Keys(c.members))
-}
-
-// renewLease passes the expiry of the lease on to the pool. An instance that is
-// not listed as a member is not asked for confirmations, so it gets no lease.
+// renewLease passes the expiry of the leases on to the pool. An instance that is not
+// registered as a user of a primary is not asked to confirm a change of it, so it gets
+// no lease.
 func (c *Controller) renewLease() {
-	if _, ok := c.members[c.Self.ID]; !ok {
-		return
+	renewed := false
+	for id, g := range c.groups {
+		if _, user := slices.BinarySearch(g.record.Users, c.Self.ID); !user {
+			if _, had := c.leases[id]; had {
+				delete(c.leases, id)
+				renewed = true
+			}
+			continue
+		}
+		if at := c.lease.Expiry(c.Self.ID, g.record.Users); at > c.leases[id] {
+			c.leases[id] = at
+			renewed = true
+		}
 	}
-	at := c.lease.Expiry(c.Self.ID, c.memberIDs())
-	if at > c.expiry {
-		c.expiry = at
-		c.Pool.SetLeaseExpiry(at)
+	if renewed {
+		c.Pool.SetLeases(maps.Clone(c.leases))
 	}
 }
 
@@ -575,13 +612,17 @@
 	if c.catalog == nil || !c.tables[c.Schema.FleetTable].loaded {
 		return
 	}
-	members := c.memberIDs()
+	c.publishPlacement()
 	for id := range c.catalog.Groups {
 		g := c.groupState(id)
 		if g.changing {
 			continue
 		}
-		s, addr := c.takeoverObservation(id, now, members)
+		c.joinUsers(ctx, now, id, g)
+		s, addr := c.takeoverObservation(id, now)
+		if s.Rank == 0 {
+			c.checkHolder(ctx, now, g)
+		}
 		cause := takeover.ReplacementCause(s)
 		if cause == takeover.None || cause == takeover.Unreachable && now < g.changeStartedAt+reachRetryInterval {
 			continue
@@ -597,12 +638,12 @@
 
 // takeoverObservation returns the inputs for takeover.ReplacementCause and the
 // address of the primary.
-func (c *Controller) takeoverObservation(id fleet.GroupID, now time.Duration, members []fleet.InstanceID) (takeover.Observation, string) {
+func (c *Controller) takeoverObservation(id fleet.GroupID, now time.Duration) (takeover.Observation, string) {
 	record := c.leadership(id)
 	e, listed := c.listed[record.Primary]
 	s := takeover.Observation{
 		Now: now, Record: record, RecordLearnedAt: c.groupState(id).learnedAt, Listed: listed, Leaving: e.Leaving,
-		Rank: fleet.Place(string(id), c.Self.ID, members),
+		Rank: c.keeperRank(id),
 	}
 	if p := c.peers[record.Holder]; record.Holder == c.Self.ID || p != nil && p.notRunning {
 		s.HolderStopped = true
@@ -623,12 +664,12 @@
 }
 
 // memberStates returns the known state of the members.
-func (c *Controller) memberStates(now time.Duration) []ratelimit.Member {
+func (c *Controller) memberStates() []ratelimit.Member {
 	out := make([]ratelimit.Member, 0, len(c.peers)+1)
 	out = append(out, ratelimit.Member{ID: c.Self.ID, Running: true, Reachable: true, Serving: !c.leaving})
 	for _, p := range c.peers {
-		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.notRunning || now >= p.avoidUntil, Serving: p.serving && !c.absent[p.ID],
-			Reachable: now >= p.avoidUntil && !c.absent[p.ID]})
+		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.notRunning, Serving: p.serving && !c.absent[p.ID],
+			Reachable: !p.down && !c.absent[p.ID]})
 	}
 	slices.SortFunc(out, func(a, b ratelimit.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/edge/control/control_test.go
+++ b/edge/control/control_test.go
@@ -140,6 +140,9 @@
 		assert.NilError(t, err)
 		fleetRows = append(fleetRows, kvstore.Row{Table: "own", Key: memberPrefix + string(m.ID), Version: 1, Value: value})
 	}
+	record, err := json.Marshal(catalog.Leadership{Group: "bookings", Primary: "e1", Settled: true, Users: []fleet.InstanceID{"self"}})
+	assert.NilError(t, err)
+	fleetRows = append(fleetRows, kvstore.Row{Table: "own", Key: leaderPrefix + "bookings", Version: 1, Value: record})
 	for _, p := range running {
 		p.fleetRows = fleetRows
 	}
@@ -278,7 +281,7 @@
 			p.mu.Unlock()
 			time.Sleep(lease.Duration)
 			waitForContact(t, c)
-			assert.Assert(t, c.Pool.LeaseValid(), "the lease has expired")
+			assert.Assert(t, c.Pool.LeaseValid("bookings"), "the lease has expired")
 		})
 	}
 }
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -69,7 +69,7 @@
 		if m.ID == c.Self.ID {
 			break
 		}
-		if m.DataCentre == c.Self.DataCentre && c.present(now, m.ID) {
+		if m.DataCentre == c.Self.DataCentre && c.present(m.ID) {
 			preceding++
 		}
 	}
@@ -316,7 +316,7 @@
 	}
 	now := c.Clock.Now()
 	inContact := c.hasContact && now < c.contact+relay.ContactFor
-	for p, tokens := range c.Limiter.assignHomes(now, c.Self.ID, inContact, c.memberStates(now), c.peers) {
+	for p, tokens := range c.Limiter.assignHomes(now, c.Self.ID, inContact, c.memberStates(), c.peers) {
 		c.sendLeave(p, &peerrpc.LeaveRequest{From: c.Self.ID, Leaving: c.leaving, Tokens: tokens})
 	}
 }
@@ -327,8 +327,7 @@
 	call, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
 	if c.runInLoop(call, func() {
-		p.avoidUntil, p.notRunning = c.Clock.Now()+avoidAfterRefusal, !leaving
-		c.assignHomes()
+		c.markDown(p, !leaving, restartTime)
 	}) != nil {
 		c.Metrics.Count("control_busy")
 	}
--- /dev/null
+++ b/edge/control/users.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/kvstore"
+	"github.com/vanillahinge/vanillahinge/core/placement"
+	"github.com/vanillahinge/vanillahinge/edge/forward"
+	"github.com/vanillahinge/vanillahinge/edge/pool"
+)
+
+const (
+	// joinRequestFor is how long a statement's need for a primary makes this instance
+	// try to register as a user of it.
+	joinRequestFor = time.Second
+	// minJoinPause and maxJoinPause bound the random pause after an attempt to
+	// register that failed, usually because another instance registered first.
+	minJoinPause = 20 * time.Millisecond
+	maxJoinPause = 150 * time.Millisecond
+	// holderCheckInterval is the time between two calls to the holder of a change that
+	// is not settled, to learn whether its process still runs.
+	holderCheckInterval = 500 * time.Millisecond
+	// witnessCount is how many other instances are asked whether they reach a primary.
+	witnessCount = 8
+)
+
+// Keepers implements forward.Directory.
+func (c *Controller) Keepers(id fleet.GroupID) []forward.Keeper {
+	return (*c.keepersByGroup.Load())[id]
+}
+
+// keepsOwn reports whether each instance keeps its own connections to a group's
+// endpoints.
+func (c *Controller) keepsOwn(id fleet.GroupID) bool {
+	return placement.KeepOwn(pool.UsableConnections(c.catalog.Groups[id].MaxConnections), len(c.members), len(c.catalog.Accounts))
+}
+
+// keepers returns the instances in the order in which they keep the connections of a
+// group.
+func (c *Controller) keepers(id fleet.GroupID) []fleet.InstanceID {
+	if c.keeperOrder == nil {
+		c.keeperOrder = map[fleet.GroupID][]fleet.InstanceID{}
+	}
+	order, ok := c.keeperOrder[id]
+	if !ok {
+		candidates := make([]placement.Candidate, 0, len(c.members))
+		for _, m := range c.members {
+			candidates = append(candidates, placement.Candidate{ID: m.ID, DataCentre: m.DataCentre, Capacity: m.Capacity})
+		}
+		order = placement.Order(id, candidates, func(dc fleet.DataCentre) bool { return c.groupDataCentres[id][dc] })
+		c.keeperOrder[id] = order
+	}
+	return order
+}
+
+// presentKeepers returns the first n keepers of a group that seem to run, this instance
+// included unless it is leaving.
+func (c *Controller) presentKeepers(id fleet.GroupID, n int) []fleet.InstanceID {
+	var out []fleet.InstanceID
+	for _, k := range c.keepers(id) {
+		if len(out) == n {
+			break
+		}
+		if k == c.Self.ID && !c.leaving || k != c.Self.ID && c.present(k) && c.peers[k].serving {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// keeperRank returns this instance's position among the keepers of a group that seem to
+// run.
+func (c *Controller) keeperRank(id fleet.GroupID) int {
+	rank := 0
+	for _, k := range c.keepers(id) {
+		if k == c.Self.ID {
+			break
+		}
+		if c.present(k) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// publishPlacement publishes the keepers of each group.
+func (c *Controller) publishPlacement() {
+	if c.catalog == nil {
+		return
+	}
+	next := make(map[fleet.GroupID][]forward.Keeper, len(c.catalog.Groups))
+	for id := range c.catalog.Groups {
+		if c.keepsOwn(id) {
+			continue
+		}
+		for _, k := range c.presentKeepers(id, placement.UserCount) {
+			next[id] = append(next[id], forward.Keeper{ID: k, Addr: c.members[k].ForwardAddr, Self: k == c.Self.ID})
+		}
+	}
+	c.keepersByGroup.Store(&next)
+	kept := make(map[fleet.GroupID]bool, len(c.catalog.Groups))
+	for id := range c.catalog.Groups {
+		kept[id] = len(next[id]) == 0 || next[id][0].Self
+	}
+	c.Pool.SetKept(kept)
+}
+
+// ReportUnreachable implements forward.Directory.
+func (c *Controller) ReportUnreachable(id fleet.InstanceID, leaving bool) {
+	call, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	if c.runInLoop(call, func() {
+		if p := c.peers[id]; p != nil {
+			wait := probeInterval
+			if leaving {
+				wait = restartTime
+			}
+			c.markDown(p, false, wait)
+		}
+	}) != nil {
+		c.Metrics.Count("control_busy")
+	}
+}
+
+// jitter returns a random duration up to d.
+func jitter(d time.Duration) time.Duration { return rand.N(d + 1) }
+
+// requestJoin records that a statement needs the primary of a group that this instance
+// is not permitted to use. It does not block.
+func (c *Controller) requestJoin(id fleet.GroupID) {
+	select {
+	case c.mailbox <- func() { c.groupState(id).joinRequestedAt = c.Clock.Now() }:
+	default:
+	}
+}
+
+// joinUsers registers this instance as a user of a group's primary if it should be one.
+func (c *Controller) joinUsers(ctx context.Context, now time.Duration, id fleet.GroupID, g *group) {
+	record := c.leadership(id)
+	if _, user := slices.BinarySearch(record.Users, c.Self.ID); user || g.joining || now < g.nextJoin || c.leaving ||
+		!record.Settled || record.Primary == "" || c.members[c.Self.ID].ID == "" {
+		return
+	}
+	requested := g.joinRequestedAt > 0 && now < g.joinRequestedAt+joinRequestFor && c.presentUsers(record) < placement.UserCount
+	if !requested && !c.keepsOwn(id) && !slices.Contains(c.presentKeepers(id, placement.UserCount), c.Self.ID) {
+		return
+	}
+	g.joining = true
+	go c.join(ctx, record.WithUser(c.Self.ID), g)
+}
+
+// presentUsers returns how many users of a primary seem to run.
+func (c *Controller) presentUsers(l catalog.Leadership) int {
+	n := 0
+	for _, id := range l.Users {
+		if c.present(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// join stores a record in which this instance is a user of the primary. The write is
+// conditional on the version of the record without it, so that a change of primary
+// that is claimed later asks this instance.
+func (c *Controller) join(ctx context.Context, l catalog.Leadership, g *group) {
+	version := uint64(0)
+	value, err := json.Marshal(l)
+	if err == nil {
+		row := kvstore.Row{Table: c.Schema.FleetTable, Key: leaderPrefix + string(l.Group), Value: value, Version: l.Version}
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		version, err = c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+		cancel()
+	}
+	c.Metrics.Count("user_registrations")
+	if c.runInLoop(ctx, func() {
+		g.joining = false
+		if err != nil {
+			g.nextJoin = c.Clock.Now() + minJoinPause + jitter(maxJoinPause-minJoinPause)
+			if !errors.Is(err, kvstore.ErrConflict) {
+				c.Log.Info("control: not registered as a user of the primary", "group", string(l.Group), "error", err.Error())
+			}
+			return
+		}
+		l.Version = version
+		c.adoptLeadership(l)
+		c.renewLease()
+		c.publishView()
+	}) != nil {
+		return // the controller has stopped
+	}
+}
+
+// fellowUsers returns the other users of the primaries that this instance may use.
+func (c *Controller) fellowUsers() map[fleet.InstanceID]*peer {
+	out := map[fleet.InstanceID]*peer{}
+	for _, g := range c.groups {
+		if _, user := slices.BinarySearch(g.record.Users, c.Self.ID); !user {
+			continue
+		}
+		for _, id := range g.record.Users {
+			if p := c.peers[id]; p != nil {
+				out[id] = p
+			}
+		}
+	}
+	return out
+}
+
+// witnesses returns some other instances that can tell whether a primary is reached.
+func (c *Controller) witnesses(id fleet.GroupID) []fleet.InstanceID {
+	var out []fleet.InstanceID
+	for _, k := range c.keepers(id) {
+		if k != c.Self.ID && c.present(k) && len(out) < witnessCount {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// checkHolder calls the holder of a change that is not settled, to learn whether its
+// process still runs.
+func (c *Controller) checkHolder(ctx context.Context, now time.Duration, g *group) {
+	p := c.peers[g.record.Holder]
+	if g.record.Version == 0 || g.record.Settled || p == nil || now < max(g.learnedAt, g.holderCheckedAt)+holderCheckInterval {
+		return
+	}
+	g.holderCheckedAt = now
+	req := c.watchRequest(now, p, 0)
+	go c.watch(ctx, p, &req)
+}
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -25,11 +25,13 @@
 	// watchBatchInterval is the least time between two Watch calls to the same
 	// instance, so that changes that come in quick succession travel together.
 	watchBatchInterval = 40 * time.Millisecond
-	// avoidAfterFailure is how long an instance is avoided after a call to it failed.
-	avoidAfterFailure = time.Second
-	// avoidAfterRefusal is how long an instance is avoided after its address refused a
-	// connection or it said that it is leaving; a process takes longer to restart.
-	avoidAfterRefusal = 1500 * time.Millisecond
+	// probeInterval is the time between the calls to an instance that is down.
+	probeInterval = 500 * time.Millisecond
+	// restartTime is how long after its address refused a connection or it said that
+	// it is leaving an instance is not called.
+	restartTime = time.Second
+	// staleFor is how long an instance without a recent proof is passed over.
+	staleFor = 500 * time.Millisecond
 	// freshProofAge is the age of a proof up to which nothing is wrong with the
 	// distribution of proofs: a reader renews its proof once in fleetTableWait.
 	freshProofAge = fleetTableWait + 300*time.Millisecond
@@ -40,8 +42,8 @@
 	// the store itself or asks all others. A read takes far less than the time left
 	// to lease.Duration.
 	maxRelayedProofAge = fleetTableWait + 900*time.Millisecond
-	// evidenceInterval is the time between the calls to all other instances while the
-	// store proves nothing.
+	// evidenceInterval is the time between the calls to the other users of a primary
+	// while the store proves nothing.
 	evidenceInterval = 500 * time.Millisecond
 )
 
@@ -68,6 +70,7 @@
 		}
 		start := c.Clock.Now()
 		if p == nil {
+			c.announceRoot(ctx)
 			if !sleep(ctx, readerPollInterval) {
 				return
 			}
@@ -80,10 +83,35 @@
 	}
 }
 
+// announceRoot lets the next instances in the order know that this one runs, while it
+// takes itself for the root and few follow it: they may follow another one and take
+// this one for absent.
+func (c *Controller) announceRoot(ctx context.Context) {
+	var calls []*peer
+	var reqs []peerrpc.WatchRequest
+	if c.runInLoop(ctx, func() {
+		now := c.Clock.Now()
+		if !c.role.Root || c.hasContact && now < c.contact+relay.MaxHold {
+			return
+		}
+		for _, m := range c.order {
+			if p := c.peers[m.ID]; p != nil && !p.down && len(calls) < relay.MaxSources {
+				calls = append(calls, p)
+				reqs = append(reqs, c.watchRequest(now, p, 0))
+			}
+		}
+	}) != nil {
+		return
+	}
+	for i, p := range calls {
+		go c.watch(ctx, p, &reqs[i])
+	}
+}
+
 // updateRole determines whom this instance follows and whether it is the root.
 func (c *Controller) updateRole(now time.Duration) {
 	self := relay.Member{ID: c.Self.ID, DataCentre: c.Self.DataCentre}
-	c.role = relay.RoleOf(self, c.order, func(id fleet.InstanceID) bool { return c.present(now, id) })
+	c.role = relay.RoleOf(self, c.order, func(id fleet.InstanceID) bool { return c.present(id) })
 	c.presence.SetRoot(now, c.role.Root)
 	if !c.role.Root {
 		return
@@ -97,9 +125,9 @@
 }
 
 // present reports whether another instance seems to run and answer.
-func (c *Controller) present(now time.Duration, id fleet.InstanceID) bool {
+func (c *Controller) present(id fleet.InstanceID) bool {
 	p := c.peers[id]
-	return p != nil && now >= p.avoidUntil && !c.absent[id]
+	return p != nil && !p.down && !c.absent[id]
 }
 
 // setAbsent installs the list of absent instances.
@@ -187,28 +215,48 @@
 	_ = c.runInLoop(ctx, func() { c.applyWatch(p, start, req, res) })
 }
 
-// recordPeerFailure records that a call to a peer failed.
+// recordPeerFailure records that a call to a peer failed. The peer counts as down until
+// a probe succeeds.
 func (c *Controller) recordPeerFailure(p *peer, err error) {
-	now := c.Clock.Now()
 	refused := errors.Is(err, peerrpc.ErrNotRunning)
-	wait := avoidAfterFailure
-	if refused {
-		wait = avoidAfterRefusal
-	}
-	if now >= p.avoidUntil {
+	if !p.down {
 		c.Log.Info("control: instance does not answer", "peer", string(p.ID), "not_running", refused, "error", err.Error())
 	}
-	p.avoidUntil, p.notRunning, p.reported = now+wait, refused, nil
+	wait := probeInterval
+	if refused {
+		wait = restartTime
+	}
+	c.markDown(p, refused, wait)
 	c.Metrics.Count("exchange_failures")
+}
+
+// markDown makes a peer count as down. It is probed after wait.
+func (c *Controller) markDown(p *peer, notRunning bool, wait time.Duration) {
+	p.down, p.notRunning, p.reported = true, notRunning, nil
+	p.probeAt = c.Clock.Now() + wait
 	c.assignHomes()
+	c.publishPlacement()
 }
 
-// recordPeerAnswer records that a peer answered a call that began at start.
+// recordPeerAnswer records that a peer answered a call.
 func (c *Controller) recordPeerAnswer(p *peer, serving bool) {
-	changed := p.avoidUntil > 0 || p.notRunning || p.serving != serving
-	p.avoidUntil, p.notRunning, p.serving = 0, false, serving
+	changed := p.down || p.serving != serving
+	p.down, p.notRunning, p.serving = false, false, serving
 	if changed {
 		c.assignHomes()
+		c.publishPlacement()
+	}
+}
+
+// probeDownPeers calls the peers that are down, unless they count as absent anyway.
+func (c *Controller) probeDownPeers(ctx context.Context, now time.Duration) {
+	for _, p := range c.peers {
+		if !p.down || now < p.probeAt || c.absent[p.ID] {
+			continue
+		}
+		p.probeAt = now + probeInterval
+		req := c.watchRequest(now, p, 0)
+		go c.watch(ctx, p, &req)
 	}
 }
 
@@ -250,7 +298,7 @@
 		c.renewLease()
 	}
 	if at, ok := c.lease.Proof(); !ok || now > at+freshProofAge {
-		p.staleUntil = now + avoidAfterFailure/2
+		p.staleUntil = now + staleFor
 	}
 }
 
@@ -264,8 +312,8 @@
 	}
 }
 
-// collectEvidence calls all other instances while the store proves nothing, for the
-// majority of package lease, until ctx ends.
+// collectEvidence calls the other users of the primaries that this instance uses while
+// the store proves nothing, for the majority of package lease, until ctx ends.
 func (c *Controller) collectEvidence(ctx context.Context) {
 	for sleep(ctx, evidenceInterval) {
 		var calls []*peer
@@ -276,7 +324,7 @@
 			if !ok || now <= at+maxRelayedProofAge {
 				return
 			}
-			for _, p := range c.peers {
+			for _, p := range c.fellowUsers() {
 				calls = append(calls, p)
 				reqs = append(reqs, c.watchRequest(now, p, 0))
 			}
@@ -349,18 +397,21 @@
 
 // hear records that an instance is waiting for changes.
 func (c *Controller) hear(now time.Duration, req *peerrpc.WatchRequest) {
-	if req.HoldMS > 0 {
-		c.presence.Report(now, req.From, req.Heard)
-		if req.Serving {
-			c.presence.Hear(now, req.From)
-		} else {
-			c.presence.Forget(req.From)
-		}
-		if c.role.Root {
-			c.updateRole(now)
-		}
+	c.presence.Report(now, req.From, req.Heard)
+	if req.Serving {
+		c.presence.Hear(now, req.From)
+	} else {
+		c.presence.Forget(req.From)
+	}
+	if c.role.Root {
+		c.updateRole(now)
 	}
-	if p := c.peers[req.From]; p != nil {
+	switch p := c.peers[req.From]; {
+	case p == nil:
+	case p.down:
+		// That it calls does not show that it can be called.
+		p.probeAt = min(p.probeAt, now)
+	default:
 		c.recordPeerAnswer(p, req.Serving)
 	}
 }
--- a/edge/pool/monitor.go
+++ b/edge/pool/monitor.go
@@ -22,6 +22,7 @@
 		p.mu.Lock()
 		var due []*endpointState
 		for _, s := range p.endpoints {
+			p.closeUnkept(s, now)
 			if s.probing {
 				continue
 			}
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,9 @@
 	// idleCheckAfter is the idle time after which a connection is checked for
 	// having been closed by the endpoint.
 	idleCheckAfter = 5 * time.Millisecond
+	// unkeptIdleTime is the idle time after which a connection is closed whose endpoint
+	// another instance keeps connections to.
+	unkeptIdleTime = 500 * time.Millisecond
 	// connectionLimitPause is how long no further connections are opened to an
 	// endpoint that refused one because of its connection limit. Connections of
 	// instances that lost power count towards the limit for up to 3 s.
@@ -213,14 +217,18 @@
 	log     *telemetry.Log
 	metrics *telemetry.Metrics
 	local   fleet.DataCentre
-	// leaseExpiry is when the lease on primaries expires, as a time of clock.
-	leaseExpiry atomic.Int64
+	// leases holds when the lease on each group's primary expires.
+	leases atomic.Pointer[map[fleet.GroupID]time.Duration]
+	// onNoLease is called when a statement needs a primary without a lease.
+	onNoLease func(fleet.GroupID)
 
 	mu        sync.Mutex
 	view      *view.View
 	endpoints map[fleet.EndpointID]*endpointState
 	groups    map[fleet.GroupID]*group
 	inFlight  map[fleet.AccountID]int
+	// kept holds the groups whose connections this instance keeps.
+	kept map[fleet.GroupID]bool
 }
 
 // New returns a pool without endpoints.
@@ -229,24 +237,54 @@
 		endpoints: map[fleet.EndpointID]*endpointState{}, groups: map[fleet.GroupID]*group{}, inFlight: map[fleet.AccountID]int{}}
 }
 
-// SetLeaseExpiry sets when the lease expires that permits the use of primaries.
-func (p *Pool) SetLeaseExpiry(at time.Duration) {
-	if at > time.Duration(p.leaseExpiry.Swap(int64(at))) {
-		p.mu.Lock()
-		p.serveWaiters()
-		p.mu.Unlock()
+// SetLeases sets, by group, when the lease expires that permits the use of its primary.
+func (p *Pool) SetLeases(expiry map[fleet.GroupID]time.Duration) {
+	p.leases.Store(&expiry)
+	p.mu.Lock()
+	p.serveWaiters()
+	p.mu.Unlock()
+}
+
+// SetKept sets the groups whose connections this instance keeps. To the endpoints of the
+// others it opens few and keeps none, since another instance needs them.
+func (p *Pool) SetKept(kept map[fleet.GroupID]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if maps.Equal(kept, p.kept) {
+		return
+	}
+	p.kept = kept
+	for _, s := range p.endpoints {
+		p.setLimits(s)
+	}
+}
+
+// setLimits sets the limits of an endpoint under the present view.
+func (p *Pool) setLimits(s *endpointState) {
+	maxConnections, sharers := p.view.Catalog.Groups[s.Group].MaxConnections, p.view.Sharers[s.Group]
+	s.limit = connectionLimit(maxConnections, sharers)
+	if !p.kept[s.Group] {
+		s.limit = unkeptConnectionLimit(maxConnections)
 	}
+	s.load.SetMaxInFlight(min(s.limit, dispatch.MaxInFlight(s.Slots, sharers)))
 }
 
-// LeaseValid reports whether the lease permits the use of primaries now.
-func (p *Pool) LeaseValid() bool { return p.leaseValidAt(p.clock.Now()) }
+// OnNoLease sets the function that is called, without blocking, when a statement needs
+// the primary of a group for which there is no lease. Call it before the pool is used.
+func (p *Pool) OnNoLease(f func(fleet.GroupID)) { p.onNoLease = f }
 
-func (p *Pool) leaseValidAt(now time.Duration) bool { return now < time.Duration(p.leaseExpiry.Load()) }
+// LeaseValid reports whether a lease permits the use of a group's primary now.
+func (p *Pool) LeaseValid(id fleet.GroupID) bool { return p.leaseValidAt(id, p.clock.Now()) }
+
+func (p *Pool) leaseValidAt(id fleet.GroupID, now time.Duration) bool {
+	leases := p.leases.Load()
+	return leases != nil && now < (*leases)[id]
+}
 
 // MaySend reports whether a statement may be sent on a connection now. Call it
 // immediately before each send.
 func (p *Pool) MaySend(c *Conn) bool {
-	return !c.Primary || !c.revoked.Load() && p.leaseValidAt(p.clock.Now())
+	return !c.Primary || !c.revoked.Load() && p.leaseValidAt(c.catalogEntry.Group, p.clock.Now())
 }
 
 // Revoked reports whether DrainPrimary has ended the use of the connection
@@ -271,7 +309,7 @@
 		if before.Primary != now.Primary && before.Version > 0 {
 			g.positions.Reset()
 		}
-		if before != now {
+		if !before.Equal(now) {
 			g.changedAt = p.clock.Now()
 			if before.Settled && !now.Settled {
 				g.unsettledAt = g.changedAt
@@ -293,8 +331,7 @@
 				p.endpoints[e.ID] = s
 			}
 			s.Endpoint, s.listed = e, true
-			s.limit = connectionLimit(v.Catalog.Groups[e.Group].MaxConnections, v.MemberCount)
-			s.load.SetMaxInFlight(min(s.limit, dispatch.MaxInFlight(e.Slots, v.MemberCount)))
+			p.setLimits(s)
 		}
 	}
 	for id, s := range p.endpoints {
@@ -312,8 +349,35 @@
 // endpoint that accepts maxConnections. A part of them stays unused, since an
 // endpoint keeps the connections of instances that lost power for up to 3 s and
 // the restarted instances need some meanwhile.
-func connectionLimit(maxConnections, members int) int {
-	return max(2, int(usableConnectionShare*float64(maxConnections-reservedConnections))/max(1, members))
+func connectionLimit(maxConnections, instances int) int {
+	return max(2, UsableConnections(maxConnections)/max(1, instances))
+}
+
+// unkeptConnectionLimit returns how many connections an instance may hold at an endpoint
+// whose connections another one keeps: a quarter of those that the keeper leaves.
+func unkeptConnectionLimit(maxConnections int) int {
+	return max(2, (maxConnections-reservedConnections-UsableConnections(maxConnections))/4)
+}
+
+// UsableConnections returns how many connections all instances together keep at an
+// endpoint that accepts maxConnections.
+func UsableConnections(maxConnections int) int {
+	return int(usableConnectionShare * float64(maxConnections-reservedConnections))
+}
+
+// closeUnkept closes the idle connections that another instance needs.
+func (p *Pool) closeUnkept(s *endpointState, now time.Duration) {
+	if p.kept[s.Group] {
+		return
+	}
+	s.idle = slices.DeleteFunc(s.idle, func(c *Conn) bool {
+		if now < c.lastUsed+unkeptIdleTime {
+			return false
+		}
+		c.RawConn.Close()
+		s.open--
+		return true
+	})
 }
 
 func (p *Pool) closeIdle(s *endpointState) {
@@ -366,7 +430,7 @@
 // usablePrimary returns the id of a group's primary and whether it may be used.
 func (p *Pool) usablePrimary(id fleet.GroupID, now time.Duration) (fleet.EndpointID, bool) {
 	l, ok := p.view.Leaders[id]
-	return l.Primary, ok && l.Settled && l.Primary != "" && p.leaseValidAt(now)
+	return l.Primary, ok && l.Settled && l.Primary != "" && p.leaseValidAt(id, now)
 }
 
 // chooseEndpoint returns the endpoint with the lowest expected latency for a
--- a/edge/pool/queue.go
+++ b/edge/pool/queue.go
@@ -82,8 +82,11 @@
 	switch {
 	case !l.Settled:
 		deadline = p.group(r.Group).unsettledAt + primaryChangeTimeout
-	case !p.leaseValidAt(now):
+	case !p.leaseValidAt(r.Group, now):
 		deadline = now + leaseWait
+		if p.onNoLease != nil {
+			p.onNoLease(r.Group)
+		}
 	case s == nil:
 		deadline = p.group(r.Group).changedAt + primaryChangeTimeout
 	case s.failingSince > 0:
--- a/edge/view/view.go
+++ b/edge/view/view.go
@@ -14,8 +14,9 @@
 	Endpoints map[fleet.GroupID][]catalog.Endpoint
 	// Leaders holds the leadership record of each group.
 	Leaders map[fleet.GroupID]catalog.Leadership
-	// MemberCount is the number of instances in the fleet, including this one.
-	MemberCount int
+	// Sharers is, for each group, the number of instances that keep connections to
+	// its endpoints while all run.
+	Sharers map[fleet.GroupID]int
 }
 
 // Route returns the route for a database.
