control: silent feeds are restarted, gone users of primaries removed

Users absent for 5 s are removed in two steps, searched by the model of core/takeover with a mutant; records of members absent for 60 s are deleted.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -132,16 +132,28 @@
 	// Users are the instances that may send statements to the primary, and that have
 	// to confirm a change. They are in ascending order.
 	Users []fleet.InstanceID `json:",omitempty"`
+	// Removed are those of the Users that must not send any more, because they are
+	// about to be removed. They are in ascending order.
+	Removed []fleet.InstanceID `json:",omitempty"`
+}
+
+// MayUse reports whether an instance may send statements to the primary.
+func (l Leadership) MayUse(id fleet.InstanceID) bool {
+	_, user := slices.BinarySearch(l.Users, id)
+	_, removed := slices.BinarySearch(l.Removed, id)
+	return user && !removed
 }
 
 // Equal reports whether two records are the same.
 func (l Leadership) Equal(o Leadership) bool {
-	return slices.Equal(l.Users, o.Users) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary &&
+	return slices.Equal(l.Users, o.Users) && slices.Equal(l.Removed, o.Removed) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary &&
 		l.Former == o.Former && l.Holder == o.Holder && l.Settled == o.Settled && l.Planned == o.Planned
 }
 
-// WithUser returns the record with another user.
+// WithUser returns the record with another user, or with one that was about to be
+// removed.
 func (l Leadership) WithUser(id fleet.InstanceID) Leadership {
+	l.Removed = slices.DeleteFunc(slices.Clone(l.Removed), func(r fleet.InstanceID) bool { return r == id })
 	if i, found := slices.BinarySearch(l.Users, id); !found {
 		l.Users = slices.Insert(slices.Clone(l.Users), i, id)
 	}
--- a/core/takeover/safety_test.go
+++ b/core/takeover/safety_test.go
@@ -19,9 +19,13 @@
 	// change numbers the changes of primary.
 	change int
 	users  []fleet.InstanceID
+	// removed is the user that is about to be removed, "" if none is.
+	removed fleet.InstanceID
 }
 
-func (r record) hasUser(id fleet.InstanceID) bool { return slices.Contains(r.users, id) }
+func (r record) hasUser(id fleet.InstanceID) bool {
+	return slices.Contains(r.users, id) && id != r.removed
+}
 
 // node is an instance in the model. Its lease is the production code.
 type node struct {
@@ -69,12 +73,14 @@
 	effectiveChange  int
 	effectiveChanges int
 	effectiveAt      func(claimed time.Duration, members []Confirmation) (time.Duration, bool)
+	// removal is set while the holder removes a user in place of changing the primary.
+	removal bool
 	// abandoned is set while a change has been claimed and its holder was restarted.
 	abandoned bool
 	// moreFaults makes disconnections and restarts three times as frequent.
 	moreFaults bool
 	// Mutations of the rules.
-	proveAtReadEnd, ignorePeerProofAge, acceptProofBeforeStart, sendWithoutRegistration, joinDuringChange bool
+	proveAtReadEnd, ignorePeerProofAge, acceptProofBeforeStart, sendWithoutRegistration, joinDuringChange, forgetRemoved bool
 }
 
 func newModel(seed uint64, n int) *model {
@@ -118,7 +124,12 @@
 	case 4:
 		if n.running && !n.storeCut && m.storeUp && n.known.version == m.stored.version && m.holder < 0 {
 			m.stored.version++
-			m.stored.change++
+			m.removal = m.rng.IntN(3) == 0 && len(m.stored.users) > 1 && !m.abandoned
+			if m.removal {
+				m.stored.removed = m.stored.users[m.rng.IntN(len(m.stored.users))]
+			} else {
+				m.stored.change++
+			}
 			n.known = m.stored
 			m.holder, m.claimed = i, m.now
 			m.confirmed = make([]Confirmation, len(m.stored.users))
@@ -131,7 +142,10 @@
 		// change is in progress.
 		if n.running && !n.storeCut && m.storeUp && n.known.version == m.stored.version && (m.holder < 0 && !m.abandoned || m.joinDuringChange) && !m.stored.hasUser(n.id) {
 			m.stored.version++
-			m.stored.users = append(slices.Clone(m.stored.users), n.id)
+			if !slices.Contains(m.stored.users, n.id) {
+				m.stored.users = append(slices.Clone(m.stored.users), n.id)
+			}
+			m.stored.removed = ""
 			n.known = m.stored
 		}
 	case 5:
@@ -158,14 +172,23 @@
 			m.incarnations[i]++
 			n.known, n.lease, n.started = record{}, lease.New(), m.now // a new process knows nothing
 			if m.holder == i {
-				m.holder, m.abandoned = -1, true
+				m.holder, m.abandoned = -1, m.abandoned || !m.removal
 			}
 		}
 	default:
 		m.deliver()
 	}
 	if m.holder >= 0 {
-		if at, ok := m.effectiveAt(m.claimed, m.confirmed); ok && m.now >= at {
+		if at, ok := m.effectiveAt(m.claimed, m.confirmed); ok && m.now >= at && m.removal {
+			m.holder = -1
+			m.stored.version++
+			gone := m.stored.removed
+			m.stored.users = slices.DeleteFunc(slices.Clone(m.stored.users), func(id fleet.InstanceID) bool { return id == gone })
+			m.stored.removed = ""
+			if m.forgetRemoved {
+				m.stored.users = []fleet.InstanceID{m.stored.users[0]}
+			}
+		} else if ok && m.now >= at {
 			m.effectiveChange, m.holder, m.abandoned = m.stored.change, -1, false
 			m.effectiveChanges++
 			// The settled record keeps only the users that have confirmed.
@@ -176,7 +199,7 @@
 					users = append(users, c.Member)
 				}
 			}
-			m.stored.users = users
+			m.stored.users, m.stored.removed = users, ""
 		}
 	}
 	for _, n := range m.nodes {
@@ -292,6 +315,9 @@
 	}
 }
 
+// mutationSeeds bounds the search for a violation of a mutation.
+const mutationSeeds = 20000
+
 // Each case removes one rule from the model, and the test fails unless the model
 // then finds a violation. Without a violation, TestNoInstanceUsesReplacedPrimary
 // would pass without checking that rule.
@@ -321,8 +347,14 @@
 		"age of a peer's proof ignored":      func(m *model) { m.ignorePeerProofAge = true },
 		"sending without registration":       func(m *model) { m.sendWithoutRegistration = true },
 		"registration during a change":       func(m *model) { m.joinDuringChange = true },
+		"other users removed as well":        func(m *model) { m.forgetRemoved = true },
 	} {
-		v, _ := runSeeds(10000, 1500, 5, setup)
+		v := ""
+		for _, n := range []int{5, 3, 2} {
+			if v == "" {
+				v, _ = runSeeds(mutationSeeds, 1500, n, setup)
+			}
+		}
 		t.Logf("%s: %s", name, v)
 		assert.Assert(t, v != "", "mutation not detected: %s", name)
 	}
--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -18,6 +18,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/kvstore"
 	"github.com/vanillahinge/vanillahinge/edge/telemetry"
 	"github.com/vanillahinge/vanillahinge/platform"
 	"github.com/vanillahinge/vanillahinge/platform/standin"
@@ -376,6 +379,43 @@
 	assert.Assert(t, strings.Contains(c.query("FETCH roof"), "ROW "+last+"|"))
 }
 
+// Guards against changes of primary that wait for instances that are gone for good: a
+// user that has been absent for long is removed from the record.
+func TestGoneUserIsRemoved(t *testing.T) {
+	f := newTestFleet(t)
+	f.startInstance("edge-1", true)
+	f.startInstance("edge-2", true)
+	// The gone instance's address accepts connections and answers nothing.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	store := platform.NewStore(f.storeAddr)
+	ctx := context.Background()
+	record := func() (catalog.Leadership, kvstore.Row) {
+		rows, _, err := store.ReadTable(ctx, platform.FleetTable)
+		assert.NilError(t, err)
+		for _, r := range rows {
+			var l catalog.Leadership
+			if r.Key == "leader/bookings" {
+				assert.NilError(t, json.Unmarshal(r.Value, &l))
+				l.Version = r.Version
+				return l, r
+			}
+		}
+		return catalog.Leadership{}, kvstore.Row{}
+	}
+	f.waitUntil(5*time.Second, func() bool { l, _ := record(); return len(l.Users) == 2 })
+	f.store.Put(platform.FleetTable, "member/gone", catalog.Member{ID: "gone", DataCentre: "z1", Addr: l.Addr().String(), ForwardAddr: l.Addr().String()})
+	r, row := record()
+	row.Value, err = json.Marshal(r.WithUser("gone"))
+	assert.NilError(t, err)
+	_, err = store.Apply(ctx, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+	assert.NilError(t, err)
+	f.waitUntil(20*time.Second, func() bool { l, _ := record(); return len(l.Users) == 2 && len(l.Removed) == 0 })
+	r, _ = record()
+	assert.DeepEqual(t, r.Users, []fleet.InstanceID{"edge-1", "edge-2"})
+}
+
 // Guards against open sessions that keep running operations after their key was
 // withdrawn or their route was removed.
 func TestConfigurationChangeAppliesToOpenSessions(t *testing.T) {
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -142,7 +142,7 @@
 	c, old := ch.ctl, ch.old
 	l := catalog.Leadership{
 		Group: old.Group, Version: old.Version, Term: max(old.Term, c.Pool.Term(old.Group)) + 1, Former: old.Primary,
-		Holder: c.Self.ID, Planned: ch.cause == takeover.Leaving || ch.cause == takeover.Gone, Users: old.Users,
+		Holder: c.Self.ID, Planned: ch.cause == takeover.Leaving || ch.cause == takeover.Gone, Users: old.Users, Removed: old.Removed,
 	}
 	if !old.Settled {
 		// The primary from before the unfinished change may still be in use.
@@ -206,11 +206,24 @@
 	return current.Version == ch.record.Version && ch.ctl.Clock.Now() < ch.claimedAt+takeover.HolderTimeout
 }
 
-// awaitOldPrimaryUnused waits until no instance sends statements to the old
-// primary, see takeover.EffectiveAt.
+// awaitOldPrimaryUnused waits until no instance sends statements to the old primary.
 func (ch *primaryChange) awaitOldPrimaryUnused(ctx context.Context) bool {
-	c := ch.ctl
-	ids := ch.record.Users
+	confirmed, ok := ch.awaitConfirmations(ctx)
+	if !ok {
+		ch.ctl.Log.Warn("control: change of primary abandoned; not enough instances confirmed in time", "group", string(ch.old.Group))
+		return false
+	}
+	ch.ctl.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group), "users", len(ch.record.Users),
+		"confirmed", len(confirmed), "after_ms", (ch.ctl.Clock.Now() - ch.claimedAt).Milliseconds())
+	// A user that has not confirmed registers again when it answers.
+	ch.record.Users, ch.record.Removed = confirmed, nil
+	return true
+}
+
+// awaitConfirmations waits until every user acts on the record or has no permission any
+// more, see takeover.EffectiveAt, and returns those that do.
+func (ch *primaryChange) awaitConfirmations(ctx context.Context) (confirmed []fleet.InstanceID, ok bool) {
+	c, ids := ch.ctl, ch.record.Users
 	var mu sync.Mutex
 	state := make([]takeover.Confirmation, len(ids))
 	for i, id := range ids {
@@ -223,29 +236,19 @@
 	}
 	for {
 		mu.Lock()
-		at, ok := takeover.EffectiveAt(ch.claimedAt, state)
-		mu.Unlock()
-		if ok && c.Clock.Now() >= at {
-			// A user that has not confirmed registers again when it answers.
-			mu.Lock()
-			var confirmed []fleet.InstanceID
-			for _, s := range state {
-				if s.Confirmed {
-					confirmed = append(confirmed, s.Member)
-				}
+		at, effective := takeover.EffectiveAt(ch.claimedAt, state)
+		confirmed = confirmed[:0]
+		for _, s := range state {
+			if s.Confirmed {
+				confirmed = append(confirmed, s.Member)
 			}
-			mu.Unlock()
-			c.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group), "users", len(ids),
-				"confirmed", len(confirmed), "after_ms", (c.Clock.Now() - ch.claimedAt).Milliseconds())
-			ch.record.Users = confirmed
-			return true
-		}
-		if !ch.claimValid(ctx) {
-			c.Log.Warn("control: change of primary abandoned; not enough instances confirmed in time", "group", string(ch.old.Group))
-			return false
 		}
-		if !sleep(ctx, changePollInterval/2) {
-			return false
+		mu.Unlock()
+		if effective && c.Clock.Now() >= at {
+			return confirmed, true
+		}
+		if !ch.claimValid(ctx) || !sleep(ctx, changePollInterval/2) {
+			return nil, false
 		}
 	}
 }
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -71,6 +71,7 @@
 	view    atomic.Pointer[view.View]
 	// storeRecovered is closed when a feed reaches the store again after a failure.
 	storeRecovered atomic.Pointer[chan struct{}]
+	heldFeeds      heldFeeds
 	repoll         atomic.Pointer[repollScope]
 	// keepersByGroup holds the keepers of each group; see forward.Directory.
 	keepersByGroup atomic.Pointer[map[fleet.GroupID][]forward.Keeper]
@@ -97,8 +98,12 @@
 	role     relay.Role
 	presence *relay.Presence
 	// absent holds the members that the root has not heard from.
-	absent     map[fleet.InstanceID]bool
-	absentHash uint64
+	absent map[fleet.InstanceID]bool
+	// absentSince holds when this instance learned that a member is absent.
+	absentSince map[fleet.InstanceID]time.Duration
+	absentHash  uint64
+	// removingMembers is set while this instance removes records of members.
+	removingMembers bool
 	// contact is when this instance last had contact with the root, directly or
 	// through others, if hasContact is set.
 	contact    time.Duration
@@ -162,6 +167,8 @@
 	// is when it may try again, and joinRequestedAt when a statement last needed it.
 	joining                   bool
 	nextJoin, joinRequestedAt time.Duration
+	// removing is set while this instance removes users that are gone.
+	removing bool
 	// holderCheckedAt is when this instance last called the holder of a change.
 	holderCheckedAt time.Duration
 }
@@ -264,6 +271,8 @@
 			c.updateRole(c.Clock.Now())
 			c.probeDownPeers(ctx, c.Clock.Now())
 			c.evaluatePrimaries(ctx)
+			c.removeGoneMembers(ctx, c.Clock.Now())
+			c.heldFeeds.restartStale(c.Clock.Now())
 		}
 	}
 }
@@ -482,6 +491,8 @@
 	c.Metrics.Count("leader_records")
 	c.signalChange()
 	if old.Primary == l.Primary && l.Settled {
+		// This instance may have been removed as a user.
+		c.renewLease()
 		c.markConfirmed(g, l.Version)
 		return true
 	}
@@ -562,9 +573,13 @@
 			v.Sharers[id] = max(1, len(c.members))
 		}
 	}
+	first := c.view.Load().Catalog == nil
 	c.view.Store(v)
 	c.Pool.SetView(v)
 	c.publishPlacement()
+	if first {
+		c.repollNow() // the others may use this instance now
+	}
 }
 
 // renewLease passes the expiry of the leases on to the pool. An instance that is not
@@ -573,7 +588,7 @@
 func (c *Controller) renewLease() {
 	renewed := false
 	for id, g := range c.groups {
-		if _, user := slices.BinarySearch(g.record.Users, c.Self.ID); !user {
+		if !g.record.MayUse(c.Self.ID) {
 			if _, had := c.leases[id]; had {
 				delete(c.leases, id)
 				renewed = true
@@ -620,6 +635,7 @@
 			continue
 		}
 		c.joinUsers(ctx, now, id, g)
+		c.removeGoneUsers(ctx, now, id, g)
 		s, addr := c.takeoverObservation(id, now)
 		if s.Rank == 0 {
 			c.checkHolder(ctx, now, g)
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -120,8 +121,14 @@
 			cancel()
 		} else {
 			call, cancel := context.WithTimeout(ctx, f.wait+feedResponseSlack)
+			c.heldFeeds.begin(f.table, heldFeed{startedAt: start, asOf: after, cancel: cancel})
 			got, asOf, err = c.Store.Changes(call, f.table, after, f.wait)
 			cancel()
+			if c.heldFeeds.end(f.table) && err != nil {
+				c.Log.Info("store: feed restarted; it does not bring a version that the store has", "table", f.table, "after", after)
+				c.Metrics.Count(`store_feeds_restarted{table="` + f.table + `"}`)
+				continue
+			}
 		}
 		c.Metrics.Count(`store_calls{table="` + f.table + `"}`)
 		switch {
@@ -136,7 +143,7 @@
 			}
 			c.Metrics.Count(`store_failures{table="` + f.table + `"}`)
 			pause := min(minRetryDelay<<min(failures-1, 4), maxRetryDelay)
-			if !f.renewsLease {
+			if !f.renewsLease && failures > 1 {
 				pause = otherTableRetryDelay
 			}
 			if !c.pauseUntilRecovered(ctx, pause) {
@@ -149,6 +156,7 @@
 			c.Log.Info("store: reachable again", "table", f.table, "away_ms", (c.Clock.Now() - failedSince).Milliseconds())
 			failures = 0
 		}
+		c.heldFeeds.seeVersion(c.Clock.Now(), asOf)
 		replace := readWhole
 		readWhole, compacted = false, false
 		after = max(after, asOf)
@@ -176,6 +184,73 @@
 	}
 }
 
+// restartDelay is how long after the store is known to have a newer version a held call
+// that does not bring it is made again. A call whose table has no change is held on; one
+// whose connection has become silent would be noticed only at its timeout.
+const restartDelay = 400 * time.Millisecond
+
+// heldFeed is a call that the store holds until a table changes.
+type heldFeed struct {
+	startedAt time.Duration
+	// asOf is the version after which it asks for changes.
+	asOf   uint64
+	cancel context.CancelFunc
+	// restarted is set once it has been cancelled.
+	restarted bool
+}
+
+// heldFeeds holds the held calls, by table, and the newest version that any call to the
+// store has shown.
+type heldFeeds struct {
+	mu      sync.Mutex
+	byTable map[string]*heldFeed
+	newest  uint64
+	seenAt  time.Duration
+}
+
+func (h *heldFeeds) begin(table string, f heldFeed) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.byTable == nil {
+		h.byTable = map[string]*heldFeed{}
+	}
+	h.byTable[table] = &f
+}
+
+// end reports whether the call was cancelled by restartStale.
+func (h *heldFeeds) end(table string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.byTable[table]
+	delete(h.byTable, table)
+	return f != nil && f.restarted
+}
+
+// seeVersion records that the store has a version.
+func (h *heldFeeds) seeVersion(now time.Duration, version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if version > h.newest {
+		h.newest, h.seenAt = version, now
+	}
+}
+
+// restartStale cancels the calls that were begun before the store was known to have its
+// newest version and have not brought it within restartDelay.
+func (h *heldFeeds) restartStale(now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now < h.seenAt+restartDelay {
+		return
+	}
+	for _, f := range h.byTable {
+		if f.asOf < h.newest && f.startedAt < h.seenAt && !f.restarted {
+			f.restarted = true
+			f.cancel()
+		}
+	}
+}
+
 // pauseUntilRecovered pauses for d, or until a feed reaches the store again. It
 // returns false if ctx ends first.
 func (c *Controller) pauseUntilRecovered(ctx context.Context, d time.Duration) bool {
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -140,7 +140,7 @@
 // joinUsers registers this instance as a user of a group's primary if it should be one.
 func (c *Controller) joinUsers(ctx context.Context, now time.Duration, id fleet.GroupID, g *group) {
 	record := c.leadership(id)
-	if _, user := slices.BinarySearch(record.Users, c.Self.ID); user || g.joining || now < g.nextJoin || c.leaving ||
+	if record.MayUse(c.Self.ID) || g.joining || now < g.nextJoin || c.leaving ||
 		!record.Settled || record.Primary == "" || c.members[c.Self.ID].ID == "" {
 		return
 	}
@@ -152,6 +152,117 @@
 	go c.join(ctx, record.WithUser(c.Self.ID), g)
 }
 
+// goneAfter is how long a member must be absent before it is removed as a user of
+// primaries, and memberGoneAfter before its record is. A restart takes less.
+const (
+	goneAfter       = 5 * time.Second
+	memberGoneAfter = 60 * time.Second
+)
+
+// removeGoneUsers removes users of a primary that have been absent for long, so that a
+// change of primary does not wait for them. The first present keeper does it, in two
+// steps: after the first one they may not send, and the second one waits as a change
+// does, until their permission has ended.
+func (c *Controller) removeGoneUsers(ctx context.Context, now time.Duration, id fleet.GroupID, g *group) {
+	record := c.leadership(id)
+	if g.removing || !record.Settled || record.Version == 0 || c.leaving || c.keeperRank(id) > 0 {
+		return
+	}
+	var gone []fleet.InstanceID
+	for _, u := range record.Users {
+		if since, absent := c.absentSince[u]; absent && now >= since+goneAfter {
+			gone = append(gone, u)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	g.removing = true
+	go func() {
+		c.removeUsers(ctx, record, gone)
+		if c.runInLoop(ctx, func() { g.removing = false }) != nil {
+			return // the controller has stopped
+		}
+	}()
+}
+
+// removeUsers removes users of a primary.
+func (c *Controller) removeUsers(ctx context.Context, old catalog.Leadership, gone []fleet.InstanceID) {
+	l := old
+	l.Removed = gone
+	if !c.storeRecord(ctx, &l) {
+		sleep(ctx, maxJoinPause)
+		return
+	}
+	ch := &primaryChange{ctl: c, old: old, record: l, startedAt: c.Clock.Now(), claimedAt: c.Clock.Now()}
+	if _, ok := ch.awaitConfirmations(ctx); !ok {
+		return
+	}
+	l.Users = slices.DeleteFunc(slices.Clone(l.Users), func(u fleet.InstanceID) bool { return slices.Contains(gone, u) })
+	l.Removed = nil
+	if c.storeRecord(ctx, &l) {
+		c.Log.Info("control: users of a primary removed that are gone", "group", string(l.Group), "removed", gone, "users", len(l.Users))
+	}
+}
+
+// storeRecord stores a record on the condition that the stored one has its version, and
+// adopts it with the new one.
+func (c *Controller) storeRecord(ctx context.Context, l *catalog.Leadership) bool {
+	value, err := json.Marshal(l)
+	version := uint64(0)
+	if err == nil {
+		row := kvstore.Row{Table: c.Schema.FleetTable, Key: leaderPrefix + string(l.Group), Value: value, Version: l.Version}
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		version, err = c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+		cancel()
+	}
+	if err != nil {
+		if !errors.Is(err, kvstore.ErrConflict) {
+			c.Log.Info("control: record of a primary not stored", "group", string(l.Group), "error", err.Error())
+		}
+		return false
+	}
+	l.Version = version
+	return c.runInLoop(ctx, func() {
+		c.adoptLeadership(*l)
+		c.renewLease()
+		c.publishView()
+	}) == nil
+}
+
+// removeGoneMembers deletes the records of members that have been absent for long. An
+// instance that is not gone registers again; which instances may use a primary does not
+// depend on these records.
+func (c *Controller) removeGoneMembers(ctx context.Context, now time.Duration) {
+	if !c.role.Root || c.removingMembers {
+		return
+	}
+	var gone []kvstore.Row
+	for id, since := range c.absentSince {
+		key := memberPrefix + string(id)
+		if row, ok := c.tables[c.Schema.FleetTable].rows[key]; ok && now >= since+memberGoneAfter && len(gone) < maxRemovedMembers {
+			gone = append(gone, kvstore.Row{Table: c.Schema.FleetTable, Key: key, Version: row.Version})
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	c.removingMembers = true
+	go func() {
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+		_, err := c.Store.Apply(call, kvstore.Transaction{Require: gone, Delete: gone})
+		c.Log.Info("control: records of members removed that are gone", "count", len(gone), "error", errorText(err))
+		sleep(ctx, claimTimeout)
+		if c.runInLoop(ctx, func() { c.removingMembers = false }) != nil {
+			return // the controller has stopped
+		}
+	}()
+}
+
+// maxRemovedMembers bounds the records that are deleted in one call.
+const maxRemovedMembers = 50
+
 // presentUsers returns how many users of a primary seem to run.
 func (c *Controller) presentUsers(l catalog.Leadership) int {
 	n := 0
@@ -167,28 +278,13 @@
 // conditional on the version of the record without it, so that a change of primary
 // that is claimed later asks this instance.
 func (c *Controller) join(ctx context.Context, l catalog.Leadership, g *group) {
-	version := uint64(0)
-	value, err := json.Marshal(l)
-	if err == nil {
-		row := kvstore.Row{Table: c.Schema.FleetTable, Key: leaderPrefix + string(l.Group), Value: value, Version: l.Version}
-		call, cancel := context.WithTimeout(ctx, claimTimeout)
-		version, err = c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
-		cancel()
-	}
+	ok := c.storeRecord(ctx, &l)
 	c.Metrics.Count("user_registrations")
 	if c.runInLoop(ctx, func() {
 		g.joining = false
-		if err != nil {
+		if !ok {
 			g.nextJoin = c.Clock.Now() + minJoinPause + jitter(maxJoinPause-minJoinPause)
-			if !errors.Is(err, kvstore.ErrConflict) {
-				c.Log.Info("control: not registered as a user of the primary", "group", string(l.Group), "error", err.Error())
-			}
-			return
 		}
-		l.Version = version
-		c.adoptLeadership(l)
-		c.renewLease()
-		c.publishView()
 	}) != nil {
 		return // the controller has stopped
 	}
@@ -198,7 +294,7 @@
 func (c *Controller) fellowUsers() map[fleet.InstanceID]*peer {
 	out := map[fleet.InstanceID]*peer{}
 	for _, g := range c.groups {
-		if _, user := slices.BinarySearch(g.record.Users, c.Self.ID); !user {
+		if !g.record.MayUse(c.Self.ID) {
 			continue
 		}
 		for _, id := range g.record.Users {
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -155,8 +155,15 @@
 	if sum := h.Sum64(); sum != c.absentHash {
 		c.absentHash = sum
 		c.absent = make(map[fleet.InstanceID]bool, len(absent))
+		before := c.absentSince
+		c.absentSince = make(map[fleet.InstanceID]time.Duration, len(absent))
 		for _, id := range absent {
 			c.absent[id] = true
+			since, ok := before[id]
+			if !ok {
+				since = c.Clock.Now()
+			}
+			c.absentSince[id] = since
 		}
 		c.Log.Info("control: absent instances", "count", len(absent), "instances", absent)
 		c.assignHomes()
