--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -277,7 +277,7 @@
 func (f *forwardListener) Start(context.Context) error {
 	l, err := net.Listen("tcp", f.a.settings.ForwardAddr)
 	if err != nil {
-		return fmt.Errorf("app: listen for statements of other instances: %w; check internal_ports in the settings", err)
+		return fmt.Errorf("app: listen for statements of other instances: %w; check the ports for instances in the settings", err)
 	}
 	f.l.Store(&l)
 	return f.a.forwardServer.Serve(l)
--- a/edge/forward/forward_test.go
+++ b/edge/forward/forward_test.go
@@ -29,11 +29,10 @@
 	// block, if not nil, is waited for before an operation is answered.
 	block chan struct{}
 	// panicOn is the id of a statement that panics.
-	panicOn                        string
-	begun, committed, rolledBack   int
-	lastOp                         *executor.Operation
-	readyAt                        time.Time
-	beginRefused, statementRefused bool
+	panicOn                      string
+	begun, committed, rolledBack int
+	lastOp                       *executor.Operation
+	readyAt                      time.Time
 }
 
 func (f *fakeExecutor) run(op *executor.Operation) stmt.Answer {
--- a/edge/forward/server.go
+++ b/edge/forward/server.go
@@ -102,7 +102,7 @@
 	delete(s.streams, st)
 	s.mu.Unlock()
 	st.end()
-	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		s.Metrics.Count("forward_streams_failed")
 		s.Log.Info("forward: stream ended", "remote", conn.RemoteAddr().String(), "error", err.Error())
 	}
