edge: silent instances keep their writes, a panic ends one session, queued connections are refused

A panic in a session or in the control goroutine ended the process (TestPanicEndsOneSession, TestPanicInControlEndsOneCall). Connections in the queue of the listener were reset at the end of a stop (TestQueuedConnectionsAreRefusedAtStop). A new root announces absent instances only when nothing can be in contact with an earlier one.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -168,9 +168,10 @@
 	p.hasRoot = root
 }
 
-// rootGrace is how long a new root announces nobody as absent: the others need a call
-// that fails before they follow it.
-const rootGrace = MaxHold + HeardFor + 300*time.Millisecond
+// rootGrace is how long a new root announces nobody as absent. Until then an earlier root
+// may have heard most instances, and what is in contact with it may take itself for
+// present.
+const rootGrace = HeardFor + ContactFor + MaxHold
 
 // Absent returns, at the root, the members other than self that nobody has heard, in
 // ascending order. ok is false while this instance cannot tell: it is not the root, has
--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -171,7 +172,7 @@
 			newHTTP("metrics", a.settings.MetricsAddr, metricsMux, a.drained),
 			newHTTP("readiness", a.settings.ReadyAddr, platform.ReadyHandler(a.ready), a.drained),
 			&forwardListener{a: a},
-			&clientListener{a: a},
+			&clientListener{a: a, drained: make(chan struct{})},
 		),
 	)
 	return k.Run()
@@ -218,30 +219,73 @@
 // clientListener is the listener for clients as a kratos server.
 type clientListener struct {
 	a *app
-	l atomic.Pointer[net.Listener]
+	l atomic.Pointer[net.TCPListener]
+	// accepted counts the connections that are being served.
+	accepted sync.WaitGroup
+	// drained is closed when Start has returned.
+	drained chan struct{}
 }
 
 // Start accepts clients until Stop.
 func (c *clientListener) Start(context.Context) error {
+	defer close(c.drained)
 	l, err := net.Listen("tcp", c.a.settings.CallerAddr)
 	if err != nil {
 		return fmt.Errorf("app: listen for clients: %w; check listen.front in the settings", err)
 	}
-	c.l.Store(&l)
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("app: listen for clients: %q is not a TCP address; check listen.front in the settings", c.a.settings.CallerAddr)
+	}
+	c.l.Store(tcp)
+	return c.accept(tcp)
+}
+
+// accept serves the connections that arrive until the listener is closed or its deadline
+// has passed.
+func (c *clientListener) accept(l *net.TCPListener) error {
 	for {
 		conn, err := l.Accept()
 		switch {
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		case err != nil:
 			c.a.log.Warn("app: accepting a client connection failed", "error", err.Error())
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go c.a.engine.Serve(platform.NewClientConn(conn))
+		c.accepted.Go(func() { c.a.engine.Serve(platform.NewClientConn(conn)) })
 	}
 }
 
+// acceptDrain is how long connections are still accepted after all sessions have ended,
+// so that those which wait in the queue of the listener are told to connect again rather
+// than reset; refusalTime bounds the time until they have been.
+const (
+	acceptDrain = 50 * time.Millisecond
+	refusalTime = 250 * time.Millisecond
+)
+
+// drainQueue accepts and refuses the connections that wait in the queue of the listener,
+// and closes it.
+func (c *clientListener) drainQueue(l *net.TCPListener) error {
+	if err := l.SetDeadline(time.Now().Add(acceptDrain)); err != nil {
+		return err
+	}
+	<-c.drained
+	err := l.Close()
+	refused := make(chan struct{})
+	go func() {
+		c.accepted.Wait()
+		close(refused)
+	}()
+	select {
+	case <-refused:
+	case <-time.After(refusalTime):
+	}
+	return err
+}
+
 // acceptRetryDelay is the pause after a failed accept, which is usually caused by a
 // lack of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
@@ -261,7 +305,7 @@
 	c.a.engine.Shutdown(ctx, within)
 	c.a.forwardServer.Drain(ctx, transactionDeadline)
 	if l := c.l.Load(); l != nil {
-		return (*l).Close()
+		return c.drainQueue(l)
 	}
 	return nil
 }
--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -491,3 +491,33 @@
 	v, _ := f.endpoints[0].Value("roof")
 	assert.Equal(t, v, "last")
 }
+
+// Guards against resetting connections that were made just before an instance stopped and
+// still wait in the queue of its listener: they are told to connect again.
+func TestQueuedConnectionsAreRefusedAtStop(t *testing.T) {
+	f := newTestFleet(t)
+	a, stop := f.startInstance("edge-1", true)
+	stop() // the engine refuses sessions from now on
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var conns []net.Conn
+	for range 20 {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, "STARTUP latest key-acme\r\n")
+		assert.NilError(t, err)
+		conns = append(conns, conn)
+	}
+	c := &clientListener{a: a, drained: make(chan struct{})}
+	go func() {
+		defer close(c.drained)
+		_ = c.accept(l.(*net.TCPListener))
+	}()
+	assert.NilError(t, c.drainQueue(l.(*net.TCPListener)))
+	for i, conn := range conns {
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		assert.NilError(t, err, "connection %d", i)
+		assert.Assert(t, strings.HasPrefix(line, "ERR BUSY"), "connection %d: %q", i, line)
+	}
+}
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -8,7 +8,9 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -266,17 +268,32 @@
 		case <-ctx.Done():
 			return
 		case f := <-c.mailbox:
-			f()
+			c.guard(f)
 		case <-t.C:
-			c.updateRole(c.Clock.Now())
-			c.probeDownPeers(ctx, c.Clock.Now())
-			c.evaluatePrimaries(ctx)
-			c.removeGoneMembers(ctx, c.Clock.Now())
-			c.heldFeeds.restartStale(c.Clock.Now())
+			c.guard(func() {
+				now := c.Clock.Now()
+				c.updateRole(now)
+				c.probeDownPeers(ctx, now)
+				c.evaluatePrimaries(ctx)
+				c.removeGoneMembers(ctx, now)
+				c.heldFeeds.restartStale(now)
+			})
 		}
 	}
 }
 
+// guard runs a function of the control goroutine. A panic, for example over a message
+// that nobody has thought of, ends that function alone.
+func (c *Controller) guard(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.Metrics.Count("panics")
+			c.Log.Warn("control: panic; what was being handled is dropped", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+	}()
+	f()
+}
+
 // replaceTable installs a complete copy of a table.
 func (c *Controller) replaceTable(name string, all []kvstore.Row, asOf uint64) {
 	t := c.tables[name]
--- a/edge/control/control_test.go
+++ b/edge/control/control_test.go
@@ -286,6 +286,15 @@
 	}
 }
 
+// Guards against one unexpected message that ends the whole process.
+func TestPanicInControlEndsOneCall(t *testing.T) {
+	c := startController(t, 0)
+	assert.NilError(t, c.runInLoop(context.Background(), func() { panic("test") }))
+	alive := false
+	assert.NilError(t, c.runInLoop(context.Background(), func() { alive = true }))
+	assert.Assert(t, alive)
+}
+
 // Guards against operations that are refused although they are within the rate,
 // because one packet to the account's home was lost.
 func TestGrantRequestIsRetriedAfterTimeout(t *testing.T) {
--- a/edge/engine/engine.go
+++ b/edge/engine/engine.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -113,6 +115,13 @@
 		return
 	}
 	defer e.unregister(s)
+	defer func() {
+		// A fault in one session must not end the others.
+		if p := recover(); p != nil {
+			e.Metrics.Count("panics")
+			e.Log.Warn("session: panic; the session is closed", "database", database, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+	}()
 	if c.SendReady() != nil {
 		return
 	}
--- a/edge/forward/client.go
+++ b/edge/forward/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/edge/clock"
 )
 
@@ -19,10 +20,13 @@
 	dialTimeout = 150 * time.Millisecond
 	// silenceBeforePing is how long a stream with operations in flight may bring
 	// nothing before it is pinged, and silenceLimit how long before it counts as
-	// lost. The limit allows for a lost packet, which TCP sends again after 200 ms,
+	// silent. The limit allows for a lost packet, which TCP sends again after 200 ms,
 	// and for a machine that gets no processor for a tenth of a second.
 	silenceBeforePing = 100 * time.Millisecond
 	silenceLimit      = 450 * time.Millisecond
+	// closeAfter is how long a stream may be silent before it is closed. Until then
+	// the outcome of a write that is waited for may still come.
+	closeAfter = 3 * time.Second
 	// watchInterval is how often the streams are checked for silence.
 	watchInterval = 50 * time.Millisecond
 )
@@ -49,12 +53,20 @@
 	closed  error
 	nextID  uint64
 	nextTx  uint64
-	pending map[uint64]chan result
+	pending map[uint64]*pendingRun
 	// received is when the last frame came or the first pending operation was sent.
 	received time.Duration
 	pinged   bool
 }
 
+// pendingRun is an operation whose outcome is waited for.
+type pendingRun struct {
+	done chan result
+	// patient is set for what must not be repeated: a write outside a transaction, or
+	// a commit.
+	patient bool
+}
+
 type result struct {
 	outcome *outcome
 	err     error
@@ -71,7 +83,7 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	return &clientStream{conn: conn, pending: map[uint64]chan result{}}, nil
+	return &clientStream{conn: conn, pending: map[uint64]*pendingRun{}}, nil
 }
 
 // read handles the frames of the stream until it ends.
@@ -118,7 +130,7 @@
 	delete(c.pending, id)
 	c.mu.Unlock()
 	if waiting != nil {
-		waiting <- r
+		waiting.done <- r
 	}
 }
 
@@ -129,17 +141,18 @@
 		c.closed = cause
 	}
 	pending := c.pending
-	c.pending = map[uint64]chan result{}
+	c.pending = map[uint64]*pendingRun{}
 	c.mu.Unlock()
 	c.conn.Close()
 	for _, waiting := range pending {
-		waiting <- result{err: fmt.Errorf("%w: %w", errLost, cause)}
+		waiting.done <- result{err: fmt.Errorf("%w: %w", errLost, cause)}
 	}
 }
 
 // run hands an operation over and waits for its outcome, up to wait.
 func (c *clientStream) run(now time.Duration, r *run, wait time.Duration) (*outcome, error) {
-	waiting := make(chan result, 1)
+	single := r.transaction == 0
+	waiting := &pendingRun{done: make(chan result, 1), patient: single && r.op.Writes() || r.op.Statement.Kind == stmt.Commit}
 	c.mu.Lock()
 	if c.closed != nil {
 		c.mu.Unlock()
@@ -160,7 +173,7 @@
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
-	case res := <-waiting:
+	case res := <-waiting.done:
 		return res.outcome, res.err
 	case <-t.C:
 		c.mu.Lock()
@@ -195,30 +208,49 @@
 	return c.closed == nil
 }
 
-// watch pings a stream that is silent although operations are pending, and closes it if
-// the silence goes on. It reports whether it did.
-func (c *clientStream) watch(now time.Duration) (lost bool) {
+// watch pings a stream that is silent although operations are pending. If the silence
+// goes on, what may be repeated elsewhere is given up; the outcomes of writes are waited
+// for, since the instance may only be slow. It reports whether the stream is silent.
+func (c *clientStream) watch(now time.Duration) (silent bool) {
 	c.mu.Lock()
-	silent := now - c.received
-	if c.closed != nil || len(c.pending) == 0 || silent < silenceBeforePing {
+	since := now - c.received
+	if c.closed != nil || len(c.pending) == 0 || since < silenceBeforePing {
 		c.mu.Unlock()
 		return false
 	}
 	ping := !c.pinged
 	c.pinged = true
+	var givenUp []*pendingRun
+	if since >= silenceLimit {
+		for id, p := range c.pending {
+			if !p.patient {
+				givenUp = append(givenUp, p)
+				delete(c.pending, id)
+			}
+		}
+	}
 	c.mu.Unlock()
-	if silent >= silenceLimit {
-		c.close(fmt.Errorf("silent for %v", silent))
-		return true
+	for _, p := range givenUp {
+		p.done <- result{err: fmt.Errorf("%w: silent for %v", errLost, since)}
 	}
-	if ping {
+	if since >= closeAfter {
+		c.close(fmt.Errorf("silent for %v", since))
+	} else if ping {
 		go func() {
 			if err := c.write(newFrame(kindPing).bytes()); err != nil {
 				c.close(err)
 			}
 		}()
 	}
-	return false
+	return since >= silenceLimit
+}
+
+// silent reports whether operations have waited for longer than silenceLimit without a
+// frame.
+func (c *clientStream) silent(now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) > 0 && now-c.received >= silenceLimit
 }
 
 // streams holds the streams to other instances.
@@ -254,6 +286,9 @@
 		if c.leaving.Load() {
 			return nil, fmt.Errorf("%w: it is leaving", errNotSent)
 		}
+		if c.silent(s.clock.Now()) {
+			return nil, fmt.Errorf("%w: it is silent", errNotSent)
+		}
 		return c, nil
 	}
 	c, err := dial(ctx, addr)
@@ -266,7 +301,7 @@
 }
 
 // watch checks all streams for silence until ctx ends.
-func (s *streams) watch(ctx context.Context, onLost func(addr string)) {
+func (s *streams) watch(ctx context.Context, onSilent func(addr string)) {
 	t := time.NewTicker(watchInterval)
 	defer t.Stop()
 	for {
@@ -277,19 +312,19 @@
 		}
 		now := s.clock.Now()
 		s.mu.Lock()
-		var lost []string
+		var silent []string
 		for addr, slot := range s.byAddr {
 			if !slot.mu.TryLock() {
 				continue // being opened
 			}
 			if slot.stream != nil && slot.stream.watch(now) {
-				lost = append(lost, addr)
+				silent = append(silent, addr)
 			}
 			slot.mu.Unlock()
 		}
 		s.mu.Unlock()
-		for _, addr := range lost {
-			onLost(addr)
+		for _, addr := range silent {
+			onSilent(addr)
 		}
 	}
 }
--- a/edge/forward/forward.go
+++ b/edge/forward/forward.go
@@ -55,11 +55,11 @@
 	return &Forwarder{clock: c, local: local, directory: d, log: l, metrics: m, streams: streams{clock: c}}
 }
 
-// Watch ends streams that have become silent, until ctx ends.
+// Watch looks after streams that have become silent, until ctx ends.
 func (f *Forwarder) Watch(ctx context.Context) {
 	f.streams.watch(ctx, func(addr string) {
 		f.metrics.Count("forward_streams_silent")
-		f.log.Info("forward: stream lost; the instance is silent", "addr", addr)
+		f.log.Info("forward: instance silent; what may run elsewhere does", "addr", addr)
 	})
 }
 
--- a/edge/forward/forward_test.go
+++ b/edge/forward/forward_test.go
@@ -313,6 +313,75 @@
 	assert.Assert(t, time.Since(start) < 2*silenceLimit, "took %v", time.Since(start))
 }
 
+// pausingProxy passes the bytes of one connection on and holds those of the answers back
+// while it is paused, as if the instance behind it were suspended.
+func pausingProxy(t *testing.T, addr string) (proxied string, pause, resume func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	var gate sync.Mutex
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", addr)
+			if err != nil {
+				in.Close()
+				continue
+			}
+			go func() { _, _ = io.Copy(out, in) }()
+			go func() {
+				buf := make([]byte, 4096)
+				for {
+					n, err := out.Read(buf)
+					gate.Lock()
+					_, _ = in.Write(buf[:n])
+					gate.Unlock()
+					if err != nil {
+						in.Close()
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), gate.Lock, gate.Unlock
+}
+
+// Guards against giving up work of an instance that was only silent for a while: the
+// outcome of a write is waited for, and a read runs elsewhere meanwhile.
+func TestWriteAtSilentKeeperIsWaitedFor(t *testing.T) {
+	k, second := startKeeper(t, "k1"), startKeeper(t, "k2")
+	addr, pause, resume := pausingProxy(t, k.addr)
+	front := &testKeeper{fakeExecutor: k.fakeExecutor, addr: addr}
+	f, local := newForwarder(t, front, second)
+	assert.Equal(t, f.Run(operation(f, "q0", stmt.Read)).Answer.Signature, "k1")
+	pause()
+	writes := make(chan executor.Outcome, 1)
+	go func() { writes <- f.Run(operation(f, "q1", stmt.Write)) }()
+	read := f.Run(operation(f, "q2", stmt.Read))
+	assert.Equal(t, read.Answer.Signature, "k2")
+	time.Sleep(silenceLimit)
+	resume()
+	out := <-writes
+	assert.Equal(t, out.Answer.Code, stmt.OK)
+	assert.Equal(t, out.Answer.Signature, "k1")
+	assert.Equal(t, local.runs(), 0)
+	ran := 0
+	for _, e := range []*fakeExecutor{k.fakeExecutor, second.fakeExecutor} {
+		e.mu.Lock()
+		for _, id := range e.ran {
+			if id == "q1" {
+				ran++
+			}
+		}
+		e.mu.Unlock()
+	}
+	assert.Equal(t, ran, 1, "the write ran once")
+}
+
 // An instance that only works for long is not silent: nothing is given up.
 func TestSlowOperationIsNotGivenUp(t *testing.T) {
 	k, second := startKeeper(t, "k1"), startKeeper(t, "k2")
