--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -175,10 +175,11 @@
 
 // Absent returns, at the root, the members other than self that nobody has heard, in
 // ascending order. ok is false while this instance cannot tell: it is not the root, has
-// been for too short a time, or hears too few to speak for the fleet.
-func (p *Presence) Absent(now time.Duration, self fleet.InstanceID, members []Member) (absent []fleet.InstanceID, ok bool) {
+// been for too short a time, or knows too few to speak for the fleet. stopped is the
+// number of members at whose address no process runs.
+func (p *Presence) Absent(now time.Duration, self fleet.InstanceID, members []Member, stopped int) (absent []fleet.InstanceID, ok bool) {
 	heard := p.Heard(now)
-	if !p.hasRoot || now < p.rootSince+rootGrace || !Quorum(len(heard)+1, len(members)) {
+	if !p.hasRoot || now < p.rootSince+rootGrace || !Quorum(len(heard)+1, stopped, len(members)) {
 		return nil, false
 	}
 	for _, m := range members {
@@ -195,7 +196,7 @@
 // may count as absent before any other acts on that.
 const ContactFor = HeardFor - 200*time.Millisecond
 
-// Quorum reports whether the root hears enough of the members, itself included, to
-// speak for the fleet. An instance that is cut off from the others takes itself for
-// the root.
-func Quorum(heard, members int) bool { return 2*heard > members }
+// Quorum reports whether the root knows enough of the members to speak for the fleet:
+// it hears them, itself included, or knows that no process runs there. An instance that
+// is cut off from the others takes itself for the root.
+func Quorum(heard, stopped, members int) bool { return 2*(heard+stopped) > members }
--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -468,6 +468,28 @@
 	assert.Assert(t, float64(admitted) >= 0.9*limit)
 }
 
+// Guards against refusals within the rate at the last instance of a fleet: it hears no
+// majority of the members, but knows that the others do not run.
+func TestLastInstanceUsesTheWholeRate(t *testing.T) {
+	f := newTestFleet(t)
+	a, _ := f.startInstance("edge-1", true)
+	_, stop2 := f.startInstance("edge-2", true)
+	_, stop3 := f.startInstance("edge-3", true)
+	var stopping sync.WaitGroup
+	stopping.Go(stop2)
+	stopping.Go(stop3)
+	stopping.Wait()
+	c, _ := dial(t, a, "latest", "key-small")
+	f.waitUntil(10*time.Second, func() bool {
+		for range 15 { // of a burst of 20
+			if !succeeded(c.query("FETCH roof")) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Guards against a shutdown that ends an open transaction, sends a message to idle
 // sessions, or refuses clients that the load balancer still sends.
 func TestGracefulShutdown(t *testing.T) {
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -82,19 +82,20 @@
 	}
 }
 
-// announceRoot lets the next instances in the order know that this one runs, while it
-// takes itself for the root and few follow it: they may follow another one and take
-// this one for absent.
+// announceRoot calls the instances that this one does not hear from, while it takes
+// itself for the root and hears few: they may follow another one and take this one for
+// absent, or not run.
 func (c *Controller) announceRoot(ctx context.Context) {
 	var calls []*peer
 	var reqs []peerrpc.WatchRequest
 	if c.runInLoop(ctx, func() {
 		now := c.Clock.Now()
-		if !c.role.Root || c.hasContact && now < c.contact+relay.MaxHold {
+		if !c.role.Root || c.inContact(now) && now < c.contact+relay.MaxHold {
 			return
 		}
-		for _, m := range c.order {
-			if p := c.peers[m.ID]; p != nil && !p.down && len(calls) < relay.MaxSources {
+		heard := c.presence.Heard(now)
+		for _, p := range c.peers {
+			if _, ok := slices.BinarySearch(heard, p.ID); !ok && !p.down {
 				calls = append(calls, p)
 				reqs = append(reqs, c.watchRequest(now, p, 0))
 			}
@@ -115,10 +116,16 @@
 	if !c.role.Root {
 		return
 	}
-	if relay.Quorum(len(c.presence.Heard(now))+1, len(c.members)) {
+	stopped := 0
+	for _, p := range c.peers {
+		if p.notRunning {
+			stopped++
+		}
+	}
+	if relay.Quorum(len(c.presence.Heard(now))+1, stopped, len(c.members)) {
 		c.setContact(now)
 	}
-	if absent, ok := c.presence.Absent(now, c.Self.ID, c.order); ok {
+	if absent, ok := c.presence.Absent(now, c.Self.ID, c.order, stopped); ok {
 		c.setAbsent(absent)
 	}
 }
