control: at most three users of a primary where one instance keeps the connections

Cause: at a start more instances registered than are needed, while the list of present ones changed.

Users beyond the first three present keepers are removed like gone ones.

--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -379,6 +379,64 @@
 	assert.Assert(t, strings.Contains(c.query("FETCH roof"), "ROW "+last+"|"))
 }
 
+// With few connections one instance keeps those of a group: statements of all instances run
+// there, transactions included, and only three instances are users of the primary, so that
+// two of four that are cut off from the others can't block a change of it.
+func TestOneInstanceKeepsTheConnections(t *testing.T) {
+	f := newTestFleet(t)
+	f.config["services"] = []any{map[string]any{"name": "bookings", "max_conns": 8, "sync_replicas": 0}}
+	f.publish()
+	var stops []func()
+	for i := range 4 {
+		_, stop := f.startInstance(fmt.Sprintf("edge-%d", i+1), true)
+		stops = append(stops, stop)
+	}
+	var sessions []*client
+	for i, a := range f.apps {
+		c, hello := dial(t, a, "own", "key-acme")
+		assert.Equal(t, hello, "READY I -")
+		assert.Assert(t, succeeded(c.query("SET lang hu")))
+		assert.Assert(t, succeeded(c.query("BEGIN")))
+		assert.Assert(t, succeeded(c.query(fmt.Sprintf("PUT roof%d v%d", i, i))))
+		assert.Assert(t, succeeded(c.query("COMMIT")))
+		assert.Assert(t, strings.Contains(c.query(fmt.Sprintf("FETCH roof%d", i)), fmt.Sprintf("ROW v%d|", i)))
+		sessions = append(sessions, c)
+	}
+	keepers := map[fleet.InstanceID]bool{}
+	for _, a := range f.apps {
+		k := a.control.Keepers("bookings")
+		assert.Assert(t, len(k) > 0)
+		keepers[k[0].ID] = true
+	}
+	assert.Equal(t, len(keepers), 1, "all know the same keeper")
+	store := platform.NewStore(f.storeAddr)
+	f.waitUntil(15*time.Second, func() bool {
+		rows, _, err := store.ReadTable(context.Background(), platform.FleetTable)
+		assert.NilError(t, err)
+		for _, r := range rows {
+			var l catalog.Leadership
+			if r.Key == "leader/bookings" && json.Unmarshal(r.Value, &l) == nil {
+				return len(l.Users) == 3 && len(l.Removed) == 0
+			}
+		}
+		return false
+	})
+	// The keeper stops; the sessions of the others go on.
+	stopped := 0
+	for i, a := range f.apps {
+		if keepers[a.settings.Instance] {
+			stopped = i
+		}
+	}
+	stops[stopped]()
+	for i, c := range sessions {
+		if i != stopped {
+			assert.Assert(t, succeeded(c.query("PUT roof after")), "session at %s", f.apps[i].settings.Instance)
+			assert.Assert(t, strings.Contains(c.query("FETCH roof"), "ROW after|"))
+		}
+	}
+}
+
 // Guards against changes of primary that wait for instances that are gone for good: a
 // user that has been absent for long is removed from the record.
 func TestGoneUserIsRemoved(t *testing.T) {
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -171,6 +171,9 @@
 	nextJoin, joinRequestedAt time.Duration
 	// removing is set while this instance removes users that are gone.
 	removing bool
+	// stableKeepers are the first present keepers of the group since keepersSince.
+	stableKeepers []fleet.InstanceID
+	keepersSince  time.Duration
 	// holderCheckedAt is when this instance last called the holder of a change.
 	holderCheckedAt time.Duration
 }
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -153,9 +153,11 @@
 }
 
 // goneAfter is how long a member must be absent before it is removed as a user of
-// primaries, and memberGoneAfter before its record is. A restart takes less.
+// primaries, and memberGoneAfter before its record is. A restart takes less. needlessAfter
+// is how long the keepers of a group must be the same before other users are removed.
 const (
 	goneAfter       = 5 * time.Second
+	needlessAfter   = 3 * time.Second
 	memberGoneAfter = 60 * time.Second
 )
 
@@ -174,6 +176,9 @@
 			gone = append(gone, u)
 		}
 	}
+	if len(gone) == 0 {
+		gone = c.needlessUsers(now, id, g, record)
+	}
 	if len(gone) == 0 {
 		return
 	}
@@ -186,6 +191,29 @@
 	}()
 }
 
+// needlessUsers returns the users beyond the first present keepers of a group, once these
+// have been the same for needlessAfter. The more users, the more have to confirm a change.
+func (c *Controller) needlessUsers(now time.Duration, id fleet.GroupID, g *group, record catalog.Leadership) []fleet.InstanceID {
+	if c.keepsOwn(id) || len(record.Users) <= placement.UserCount {
+		g.keepersSince = 0
+		return nil
+	}
+	keepers := c.presentKeepers(id, placement.UserCount)
+	if g.keepersSince == 0 || !slices.Equal(keepers, g.stableKeepers) {
+		g.stableKeepers, g.keepersSince = keepers, now
+		return nil
+	}
+	if now < g.keepersSince+needlessAfter || len(keepers) < placement.UserCount {
+		return nil
+	}
+	for _, k := range keepers {
+		if !record.MayUse(k) {
+			return nil // it registers first
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(record.Users), func(u fleet.InstanceID) bool { return slices.Contains(keepers, u) })
+}
+
 // removeUsers removes users of a primary.
 func (c *Controller) removeUsers(ctx context.Context, old catalog.Leadership, gone []fleet.InstanceID) {
 	l := old
