--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -190,8 +190,9 @@
 	// Until staleUntil another instance is preferred, because this one had no recent
 	// proof.
 	staleUntil time.Duration
-	// serving is true until the instance reports otherwise.
-	serving bool
+	// Until awayUntil the instance does not serve: it has said that it is leaving or
+	// starting. After that the list of absent instances tells.
+	awayUntil time.Duration
 	// reported is the list of heard instances that this instance has told it last.
 	reported []fleet.InstanceID
 }
@@ -472,7 +473,7 @@
 	for id, m := range c.members {
 		members = append(members, relay.Member{ID: id, DataCentre: m.DataCentre})
 		if _, ok := c.peers[id]; !ok && id != c.Self.ID {
-			c.peers[id] = &peer{Member: m, client: peerrpc.NewPeer(m.Addr), serving: true}
+			c.peers[id] = &peer{Member: m, client: peerrpc.NewPeer(m.Addr)}
 		}
 	}
 	c.order = relay.Order(members)
@@ -701,11 +702,11 @@
 }
 
 // memberStates returns the known state of the members.
-func (c *Controller) memberStates() []ratelimit.Member {
+func (c *Controller) memberStates(now time.Duration) []ratelimit.Member {
 	out := make([]ratelimit.Member, 0, len(c.peers)+1)
 	out = append(out, ratelimit.Member{ID: c.Self.ID, Running: true, Reachable: true, Serving: !c.leaving})
 	for _, p := range c.peers {
-		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.notRunning, Serving: p.serving && !c.absent[p.ID],
+		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.notRunning, Serving: now >= p.awayUntil && !c.absent[p.ID],
 			Reachable: !p.down && !c.absent[p.ID]})
 	}
 	slices.SortFunc(out, func(a, b ratelimit.Member) int { return cmp.Compare(a.ID, b.ID) })
--- a/edge/control/control_test.go
+++ b/edge/control/control_test.go
@@ -286,6 +286,32 @@
 	}
 }
 
+// Guards against an instance that counts as away for good for those that it told that it
+// was leaving and that do not talk to it after its restart: accounts had different homes
+// at different instances (taf-stubs trouble-2, after a roll).
+func TestInstanceIsNotAwayForGood(t *testing.T) {
+	c := startController(t, 2, &fakePeer{}, &fakePeer{})
+	serving := func() bool {
+		out := false
+		assert.NilError(t, c.runInLoop(context.Background(), func() {
+			for _, m := range c.memberStates(c.Clock.Now()) {
+				out = out || m.ID == "peer-1" && m.Serving
+			}
+		}))
+		return out
+	}
+	assert.Assert(t, serving())
+	_, err := c.Leave(context.Background(), &peerrpc.LeaveRequest{From: "peer-1", Leaving: true})
+	assert.NilError(t, err)
+	assert.Assert(t, !serving())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !serving() {
+			return poll.Continue("still away")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(awayTime+time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
 // Guards against one unexpected message that ends the whole process.
 func TestPanicInControlEndsOneCall(t *testing.T) {
 	c := startController(t, 0)
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -401,7 +401,7 @@
 func (c *Controller) Leave(ctx context.Context, req *peerrpc.LeaveRequest) (*peerrpc.LeaveResponse, error) {
 	err := c.runInLoop(ctx, func() {
 		if p := c.peers[req.From]; p != nil && req.Leaving {
-			p.serving = false
+			p.awayUntil = c.Clock.Now() + awayTime
 			c.assignHomes()
 		}
 		c.Limiter.AddTokens(req.Tokens)
@@ -440,7 +440,7 @@
 		return
 	}
 	now := c.Clock.Now()
-	for p, tokens := range c.Limiter.assignHomes(now, c.Self.ID, c.inContact(now), c.memberStates(), c.peers) {
+	for p, tokens := range c.Limiter.assignHomes(now, c.Self.ID, c.inContact(now), c.memberStates(now), c.peers) {
 		c.sendLeave(p, &peerrpc.LeaveRequest{From: c.Self.ID, Leaving: c.leaving, Tokens: tokens})
 	}
 }
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -68,7 +68,7 @@
 		if len(out) == n {
 			break
 		}
-		if k == c.Self.ID && !c.leaving || k != c.Self.ID && c.present(k) && c.peers[k].serving {
+		if k == c.Self.ID && !c.leaving || k != c.Self.ID && c.present(k) && c.Clock.Now() >= c.peers[k].awayUntil {
 			out = append(out, k)
 		}
 	}
@@ -229,7 +229,7 @@
 	l.Users = slices.DeleteFunc(slices.Clone(l.Users), func(u fleet.InstanceID) bool { return slices.Contains(gone, u) })
 	l.Removed = nil
 	if c.storeRecord(ctx, &l) {
-		c.Log.Info("control: users of a primary removed that are gone", "group", string(l.Group), "removed", gone, "users", len(l.Users))
+		c.Log.Info("control: users of a primary removed", "group", string(l.Group), "removed", gone, "users", len(l.Users))
 	}
 }
 
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -29,6 +29,9 @@
 	// that is down. They double.
 	minProbePause = 100 * time.Millisecond
 	maxProbePause = 800 * time.Millisecond
+	// awayTime is how long an instance counts as away after it has said that it does not
+	// serve. By then the root does not hear it any more, or it serves again.
+	awayTime = relay.HeardFor + time.Second
 	// staleFor is how long an instance without a recent proof is passed over.
 	staleFor = 500 * time.Millisecond
 	// freshProofAge is the age of a proof up to which nothing is wrong with the
@@ -269,8 +272,12 @@
 
 // recordPeerAnswer records that a peer answered a call.
 func (c *Controller) recordPeerAnswer(p *peer, serving bool) {
-	changed := p.down || p.serving != serving
-	p.down, p.notRunning, p.serving = false, false, serving
+	now := c.Clock.Now()
+	changed := p.down || serving != (now >= p.awayUntil)
+	p.down, p.notRunning, p.awayUntil = false, false, 0
+	if !serving {
+		p.awayUntil = now + awayTime
+	}
 	if changed {
 		c.assignHomes()
 		c.publishPlacement()
