--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -71,14 +71,17 @@
 }
 
 type world struct {
-	t         *testing.T
-	bin       string
-	rnd       *rand.Rand
-	store     *standin.Store
-	endpoints []*standin.Endpoint
-	links     []*link.Link
-	instances []*instance
-	version   int
+	// idleAccounts is the number of further accounts. With many, one instance keeps the
+	// connections and the others forward their statements.
+	idleAccounts int
+	t            *testing.T
+	bin          string
+	rnd          *rand.Rand
+	store        *standin.Store
+	endpoints    []*standin.Endpoint
+	links        []*link.Link
+	instances    []*instance
+	version      int
 
 	mu     sync.Mutex
 	faults []string
@@ -113,6 +116,9 @@
 	}
 	storeSrv, promoter := httptest.NewServer(w.store), httptest.NewServer(g.Promoter())
 	t.Cleanup(func() { storeSrv.CloseClientConnections(); promoter.Close() })
+	if seed%2 == 1 {
+		w.idleAccounts = 40
+	}
 	w.publish()
 	dir := t.TempDir()
 	for i := range instances {
@@ -183,11 +189,15 @@
 		return map[string]any{"name": name, "host": name, "type": kind, "service": "bookings", "timeout_ms": 1000 + w.version,
 			"goal_ms": 400, "prio": 1, "max_staleness_ms": staleness.Milliseconds()}
 	}
+	tenants := []any{map[string]any{"name": "acme", "api_keys": []string{"k"}, "rate_per_s": 5000, "burst": 5000}}
+	for i := range w.idleAccounts {
+		tenants = append(tenants, map[string]any{"name": fmt.Sprint("idle-", i), "api_keys": []string{fmt.Sprint("idle-key-", i)}, "rate_per_s": 10, "burst": 10})
+	}
 	w.store.Put("op", "config", map[string]any{"version": w.version,
 		"routes":   []any{route("latest", "primary"), route("bounded", "bounded_staleness"), route("own", "read_your_writes")},
 		"services": []any{map[string]any{"name": "bookings", "max_conns": 40, "sync_replicas": 0}},
 		"limits":   map[string]any{"tx_idle_ms": 2000},
-		"tenants":  []any{map[string]any{"name": "acme", "api_keys": []string{"k"}, "rate_per_s": 5000, "burst": 5000}}})
+		"tenants":  tenants})
 }
 
 func (w *world) prepare(dir string, i int, store, promoter string, seed uint64) {
