--- /dev/null
+++ b/edge/control/tables.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/kvstore"
+	"github.com/vanillahinge/vanillahinge/core/relay"
+	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
+)
+
+// memberRow is a decoded member record.
+type memberRow struct {
+	version uint64
+	member  catalog.Member
+}
+
+// table is this instance's copy of a table.
+type table struct {
+	rows map[string]kvstore.Row
+	asOf uint64
+	// digest covers the keys and versions of the rows.
+	digest uint64
+	loaded bool
+	// deleted holds the rows deleted since version deletionsKnownSince.
+	deleted             map[string]kvstore.Row
+	deletionsKnownSince uint64
+	// damaged is set if the copy has turned out to differ from another one.
+	damaged bool
+}
+
+// maxDeletedRows bounds the deleted rows that are kept for other instances.
+const maxDeletedRows = 1000
+
+// replaceTable installs a complete copy of a table.
+func (c *Controller) replaceTable(name string, all []kvstore.Row, asOf uint64) {
+	t := c.tables[name]
+	before := t.rows
+	t.rows = make(map[string]kvstore.Row, len(all))
+	for _, r := range all {
+		t.rows[r.Key] = r
+	}
+	t.asOf, t.loaded = max(t.asOf, asOf), true
+	clear(t.deleted)
+	t.deletionsKnownSince = t.asOf
+	if !maps.EqualFunc(before, t.rows, func(a, b kvstore.Row) bool { return a.Version == b.Version }) || name != c.Schema.FleetTable {
+		c.tableChanged(name)
+	}
+}
+
+// applyChanges installs changed rows, except those older than the copy's.
+func (c *Controller) applyChanges(name string, changed []kvstore.Row, asOf uint64) {
+	t := c.tables[name]
+	completeTo := t.asOf
+	t.asOf = max(t.asOf, asOf)
+	modified := false
+	for _, r := range changed {
+		if r.Version <= completeTo {
+			continue // the copy has it, or something newer
+		}
+		delete(t.rows, r.Key)
+		delete(t.deleted, r.Key)
+		if r.Deleted {
+			t.deleted[r.Key] = r
+		} else {
+			t.rows[r.Key] = r
+		}
+		modified = true
+	}
+	if len(t.deleted) > maxDeletedRows {
+		clear(t.deleted)
+		t.deletionsKnownSince = t.asOf
+	}
+	if modified {
+		c.tableChanged(name)
+	}
+}
+
+// tableChanged updates the derived state after a table's rows have changed and
+// publishes a view.
+func (c *Controller) tableChanged(name string) {
+	t := c.tables[name]
+	t.digest = digest(t.rows)
+	switch name {
+	case c.Schema.OperatorTable:
+		c.updateCatalog(t)
+	case c.Schema.EndpointTable:
+		c.updateEndpoints(t)
+	case c.Schema.FleetTable:
+		c.updateFleet(t)
+	}
+	c.publishView()
+	c.signalChange()
+}
+
+// updateCatalog puts a newer configuration into force.
+func (c *Controller) updateCatalog(t *table) {
+	row, ok := t.rows[c.Schema.ConfigKey]
+	if !ok {
+		return
+	}
+	next, err := c.Schema.DecodeCatalog(row.Value)
+	if err != nil {
+		c.Log.Warn("control: invalid configuration ignored", "error", err.Error())
+		c.Metrics.Count("catalogs_rejected")
+		return
+	}
+	if c.catalog != nil && next.Version <= c.catalog.Version {
+		return
+	}
+	c.catalog = next
+	c.Limiter.SetAccounts(c.Clock.Now(), next.Accounts)
+	c.assignHomes()
+	c.Metrics.Gauge("catalog_version", int64(next.Version))
+	c.Log.Info("control: configuration in force", "version", next.Version, "bytes", len(row.Value), "routes", len(next.Routes),
+		"accounts", len(next.Accounts), "keys", len(next.Keys))
+}
+
+// updateEndpoints installs the platform's list of endpoints.
+func (c *Controller) updateEndpoints(t *table) {
+	now := c.Clock.Now()
+	before := c.listed
+	c.listed = make(map[fleet.EndpointID]catalog.Endpoint, len(t.rows))
+	for _, r := range t.rows {
+		e, err := c.Schema.DecodeEndpoint(r)
+		if err != nil {
+			c.Metrics.Count("endpoint_rows_ignored")
+			c.Log.Warn("control: invalid endpoint entry ignored", "error", err.Error())
+			continue
+		}
+		c.listed[e.ID] = e
+		if c.groupDataCentres[e.Group] == nil {
+			c.groupDataCentres[e.Group] = map[fleet.DataCentre]bool{}
+		}
+		if !c.groupDataCentres[e.Group][e.DataCentre] {
+			c.groupDataCentres[e.Group][e.DataCentre] = true
+			c.keeperOrder = nil
+		}
+		c.lastEntries[e.ID] = e
+		delete(c.unlisted, e.ID)
+		if old, known := before[e.ID]; !known || old != e {
+			c.Log.Info("control: endpoint listed", "endpoint", string(e.ID), "group", string(e.Group), "leaving", e.Leaving,
+				"primary", e.Primary)
+		}
+	}
+	for id, e := range before {
+		if _, ok := c.listed[id]; !ok {
+			c.Log.Info("control: endpoint no longer listed", "endpoint", string(id), "group", string(e.Group))
+			c.unlisted[id] = now
+		}
+	}
+}
+
+// updateFleet adopts the leadership records and members of the fleet's own table.
+func (c *Controller) updateFleet(t *table) {
+	rowsBefore := c.memberRows
+	c.memberRows = make(map[string]memberRow, len(rowsBefore))
+	c.members = make(map[fleet.InstanceID]catalog.Member, len(rowsBefore))
+	membersChanged := false
+	for key, r := range t.rows {
+		switch {
+		case strings.HasPrefix(key, leaderPrefix):
+			if g := c.groups[fleet.GroupID(key[len(leaderPrefix):])]; g != nil && g.record.Version >= r.Version && !g.announced {
+				continue
+			}
+			var l catalog.Leadership
+			if err := json.Unmarshal(r.Value, &l); err != nil {
+				c.Log.Warn("control: invalid leadership record ignored", "key", key, "error", err.Error())
+				continue
+			}
+			l.Version = r.Version
+			c.adoptLeadership(l)
+		case strings.HasPrefix(key, memberPrefix):
+			known, ok := rowsBefore[key]
+			if !ok || known.version != r.Version {
+				known = memberRow{version: r.Version}
+				if err := json.Unmarshal(r.Value, &known.member); err != nil {
+					c.Log.Warn("control: invalid member record ignored", "key", key, "error", err.Error())
+					continue
+				}
+				membersChanged = true
+			}
+			c.memberRows[key] = known
+			c.members[known.member.ID] = known.member
+		}
+	}
+	if membersChanged || len(rowsBefore) != len(c.memberRows) {
+		c.updatePeers()
+	}
+	c.renewLease()
+}
+
+// updatePeers updates what depends on the list of members.
+func (c *Controller) updatePeers() {
+	for id, p := range c.peers {
+		if m, ok := c.members[id]; !ok || m.Addr != p.Addr {
+			p.client.Close()
+			delete(c.peers, id)
+		}
+	}
+	members := make([]relay.Member, 0, len(c.members))
+	for id, m := range c.members {
+		members = append(members, relay.Member{ID: id, DataCentre: m.DataCentre})
+		if _, ok := c.peers[id]; !ok && id != c.Self.ID {
+			c.peers[id] = &peer{Member: m, client: peerrpc.NewPeer(m.Addr)}
+		}
+	}
+	c.order = relay.Order(members)
+	c.keeperOrder = nil
+	c.assignHomes()
+}
