control: members that join are told together

At the start each registration was told to every follower at once, so that each asked again after 40 ms, and instances without a proof asked others without one without a pause; the first ones that register are asked by all.

Changes of members are told after 0.3 s, an instance without a recent proof asks at most every 150 ms (TestFewCallsWithoutProof, TestNewMembersCanWait).

--- a/edge/control/control_test.go
+++ b/edge/control/control_test.go
@@ -286,6 +286,47 @@
 	}
 }
 
+// Guards against calls without pause while nobody has a recent proof, at the start of a
+// fleet or while the store is down: with 300 instances the start did not end.
+func TestFewCallsWithoutProof(t *testing.T) {
+	peers := []*fakePeer{{staleProof: true}, {staleProof: true}, {staleProof: true}}
+	startController(t, len(peers), peers...)
+	time.Sleep(2 * time.Second)
+	calls := 0
+	for _, p := range peers {
+		p.mu.Lock()
+		calls += p.watches
+		p.mu.Unlock()
+	}
+	assert.Assert(t, calls > 0 && calls <= 25, "%d calls in 2 s", calls)
+}
+
+// Members that join are told together, changes of primaries and of other tables at once.
+func TestNewMembersCanWait(t *testing.T) {
+	c := startController(t, 2)
+	member := func(version uint64) kvstore.Row {
+		value, err := json.Marshal(catalog.Member{ID: fleet.InstanceID(fmt.Sprint("new-", version)), Addr: "127.0.0.1:1"})
+		assert.NilError(t, err)
+		return kvstore.Row{Table: "own", Key: fmt.Sprint(memberPrefix, "new-", version), Version: version, Value: value}
+	}
+	check := func(want urgency, row kvstore.Row) {
+		t.Helper()
+		assert.NilError(t, c.runInLoop(context.Background(), func() {
+			c.lease.AddProof(c.Clock.Now())
+			before := c.tableStates()
+			c.applyChanges(row.Table, []kvstore.Row{row}, row.Version)
+			_, news := c.newsFor(c.Clock.Now(), 0, &peerrpc.WatchRequest{Tables: before, InContact: true, AbsentHash: c.absentHash,
+				Announced: map[fleet.GroupID]uint64{"bookings": 1 << 40}})
+			assert.Equal(t, news, want)
+		}))
+	}
+	check(canWait, member(2))
+	check(canWait, member(3))
+	record, err := json.Marshal(catalog.Leadership{Group: "bookings", Term: 2})
+	assert.NilError(t, err)
+	check(urgent, kvstore.Row{Table: "own", Key: leaderPrefix + "bookings", Version: 4, Value: record})
+}
+
 // Guards against an instance that counts as away for good for those that it told that it
 // was leaving and that do not talk to it after its restart: accounts had different homes
 // at different instances (taf-stubs trouble-2, after a roll).
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -174,7 +174,15 @@
 		}) != nil {
 			return
 		}
-		if len(got) > 0 && !sleep(ctx, feedBatchInterval) {
+		pause := time.Duration(0)
+		switch {
+		case len(got) == 0:
+		case f.renewsLease && onlyMembers(got):
+			pause = patientHold
+		default:
+			pause = feedBatchInterval
+		}
+		if pause > 0 && !sleep(ctx, pause) {
 			return
 		}
 	}
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,9 @@
 	// watchBatchInterval is the least time between two Watch calls to the same
 	// instance, so that changes that come in quick succession travel together.
 	watchBatchInterval = 40 * time.Millisecond
+	// staleWatchInterval is the same while this instance has no recent proof, and asks one
+	// source after the other.
+	staleWatchInterval = 150 * time.Millisecond
 	// minProbePause and maxProbePause bound the pauses between the calls to an instance
 	// that is down. They double.
 	minProbePause = 100 * time.Millisecond
@@ -79,7 +83,15 @@
 			continue
 		}
 		c.watch(ctx, p, &req)
-		if rest := watchBatchInterval - (c.Clock.Now() - start); rest > 0 && !sleep(ctx, rest) {
+		pause := watchBatchInterval
+		if c.runInLoop(ctx, func() {
+			if at, ok := c.lease.Proof(); !ok || c.Clock.Now() > at+freshProofAge {
+				pause = staleWatchInterval
+			}
+		}) != nil {
+			return
+		}
+		if rest := pause - (c.Clock.Now() - start); rest > 0 && !sleep(ctx, rest) {
 			return
 		}
 	}
@@ -403,11 +415,9 @@
 	var res *peerrpc.WatchResponse
 	received := c.Clock.Now()
 	hold := min(max(0, time.Duration(req.HoldMS)*time.Millisecond), relay.MaxHold)
-	timer := time.NewTimer(hold)
-	defer timer.Stop()
-	for waiting := true; ; {
+	for {
 		var changed chan struct{}
-		news := false
+		var news urgency
 		if err := c.runInLoop(ctx, func() {
 			now := c.Clock.Now()
 			c.hear(now, req)
@@ -416,20 +426,43 @@
 		}); err != nil {
 			return nil, err
 		}
-		if news || !waiting || hold == 0 {
+		rest := hold - (c.Clock.Now() - received)
+		if news == canWait {
+			rest -= hold - min(hold, patientHold)
+		}
+		if news == urgent || rest <= 0 {
 			res.HeldMS = (c.Clock.Now() - received).Milliseconds()
 			return res, nil
 		}
+		timer := time.NewTimer(rest)
 		select {
 		case <-changed:
 		case <-timer.C:
-			waiting = false
 		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// urgency tells when an instance that follows this one is told what it lacks.
+type urgency uint8
+
+const (
+	// noNews: at the end of the hold.
+	noNews urgency = iota
+	// canWait: after patientHold, so that members that join one after the other are told
+	// together. At a start of hundreds of instances each of them changes the table.
+	canWait
+	// urgent: at once.
+	urgent
+)
+
+// patientHold is how long a call is held that brings only changes of members.
+const patientHold = 300 * time.Millisecond
+
 // hear records that an instance is waiting for changes.
 func (c *Controller) hear(now time.Duration, req *peerrpc.WatchRequest) {
 	c.presence.Report(now, req.From, req.Heard)
@@ -451,39 +484,49 @@
 	}
 }
 
-// newsFor returns what an instance lacks that called held ago, and whether it is worth
-// an answer before the end of the hold.
-func (c *Controller) newsFor(now, held time.Duration, req *peerrpc.WatchRequest) (*peerrpc.WatchResponse, bool) {
+// newsFor returns what an instance lacks that called held ago, and when to tell it.
+func (c *Controller) newsFor(now, held time.Duration, req *peerrpc.WatchRequest) (*peerrpc.WatchResponse, urgency) {
 	res := &peerrpc.WatchResponse{ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving()}
-	news := false
+	news := noNews
 	if at, ok := c.lease.Proof(); ok {
 		// Rounded up, so that the caller never takes the proof for younger than it is.
 		res.ProofAgeMS = (now - at).Milliseconds() + 1
-		news = req.ProofAgeMS < 0 || time.Duration(res.ProofAgeMS)*time.Millisecond+proofGain < time.Duration(req.ProofAgeMS)*time.Millisecond+held
-		// A caller without a recent proof has to look elsewhere.
-		news = news || now > at+freshProofAge
-	} else {
-		news = true
+		if req.ProofAgeMS < 0 || time.Duration(res.ProofAgeMS)*time.Millisecond+proofGain < time.Duration(req.ProofAgeMS)*time.Millisecond+held {
+			news = urgent
+		}
+	}
+	switch at, ok := c.lease.Proof(); {
+	case !ok:
+		// All may be starting.
+		news = max(news, canWait)
+	case now > at+freshProofAge:
+		news = urgent // the caller has to look elsewhere
 	}
 	if c.role.Root && c.hasContact && now < c.contact+watchBatchInterval {
 		res.ContactAgeMS = 0
 	} else if c.hasContact {
 		res.ContactAgeMS = (now - c.contact).Milliseconds() + 1
 	}
-	news = news || !req.InContact && c.inContact(now)
+	if !req.InContact && c.inContact(now) {
+		news = urgent
+	}
 	for name, t := range c.tables {
 		if change, ok := t.changesFor(req.Tables[name]); ok {
 			if res.Tables == nil {
 				res.Tables = map[string]peerrpc.TableChange{}
 			}
 			res.Tables[name] = change
-			news = true
+			if name == c.Schema.FleetTable && !change.Complete && onlyMembers(change.Rows) {
+				news = max(news, canWait)
+			} else {
+				news = urgent
+			}
 		}
 	}
 	for _, l := range c.announcedLeaders() {
 		if announcedVersion(l) > req.Announced[l.Group] {
 			res.Leaders = append(res.Leaders, l)
-			news = true
+			news = urgent
 		}
 	}
 	if req.AbsentHash != c.absentHash {
@@ -492,11 +535,16 @@
 			res.Absent = append(res.Absent, id)
 		}
 		slices.Sort(res.Absent)
-		news = true
+		news = urgent
 	}
 	return res, news
 }
 
+// onlyMembers reports whether rows of the fleet's table are records of members.
+func onlyMembers(rows []kvstore.Row) bool {
+	return !slices.ContainsFunc(rows, func(r kvstore.Row) bool { return !strings.HasPrefix(r.Key, memberPrefix) })
+}
+
 // changesFor returns the rows that another copy of the table lacks; false if none.
 func (t *table) changesFor(theirs peerrpc.TableState) (peerrpc.TableChange, bool) {
 	if !t.loaded || t.asOf <= theirs.AsOf || t.digest == theirs.Digest {
