--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -474,6 +474,28 @@
 	assert.DeepEqual(t, r.Users, []fleet.InstanceID{"edge-1", "edge-2"})
 }
 
+// Guards against an instance that is no member for good after its record was removed while
+// it was suspended.
+func TestRemovedMemberRegistersAgain(t *testing.T) {
+	f := newTestFleet(t)
+	f.startInstance("edge-1", true)
+	store := platform.NewStore(f.storeAddr)
+	registered := func() bool {
+		rows, _, err := store.ReadTable(context.Background(), platform.FleetTable)
+		assert.NilError(t, err)
+		for _, r := range rows {
+			if r.Key == "member/edge-1" {
+				return true
+			}
+		}
+		return false
+	}
+	f.waitUntil(2*time.Second, registered)
+	f.store.Delete(platform.FleetTable, "member/edge-1")
+	assert.Assert(t, !registered())
+	f.waitUntil(8*time.Second, registered)
+}
+
 // Guards against open sessions that keep running operations after their key was
 // withdrawn or their route was removed.
 func TestConfigurationChangeAppliesToOpenSessions(t *testing.T) {
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -32,6 +32,9 @@
 	storeTimerSlack = 50 * time.Millisecond
 	// readTimeout bounds a read of a whole table and the write of the member row.
 	readTimeout = 1500 * time.Millisecond
+	// registrationCheckInterval is how often an instance checks that its member row is
+	// in its copy of the table; a row that was written is there by then.
+	registrationCheckInterval = 2 * time.Second
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call. The
 	// feeds that do not renew the lease pause for otherTableRetryDelay; they retry
 	// at once when another feed reaches the store again.
@@ -297,8 +300,8 @@
 	return h.Sum64()
 }
 
-// register writes this instance's member row if it is missing or out of date, and
-// returns once the fleet's table contains it.
+// register keeps this instance's member row in the fleet's table until ctx ends: it may be
+// removed while the instance is suspended or cut off.
 func (c *Controller) register(ctx context.Context) {
 	key := memberPrefix + string(c.Self.ID)
 	value, err := json.Marshal(c.Self)
@@ -306,7 +309,7 @@
 		c.Log.Warn("control: cannot encode this instance's member record", "error", err.Error())
 		return
 	}
-	for pause := minRetryDelay; ; pause = min(pause*2, maxRetryDelay) {
+	for retry := minRetryDelay; ; {
 		known, current, version := false, false, uint64(0)
 		if c.runInLoop(ctx, func() {
 			known = c.tables[c.Schema.FleetTable].loaded
@@ -317,16 +320,17 @@
 		}) != nil {
 			return
 		}
-		if current {
-			return
-		}
-		if known {
+		pause := registrationCheckInterval
+		if !known {
+			pause = minRetryDelay
+		} else if !current {
 			row := kvstore.Row{Table: c.Schema.FleetTable, Key: key, Version: version, Value: value}
 			call, cancel := context.WithTimeout(ctx, readTimeout)
 			_, err := c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
 			cancel()
 			if err != nil {
 				c.Log.Warn("control: registration as a member failed", "error", err.Error())
+				pause, retry = retry, min(2*retry, maxRetryDelay)
 			}
 		}
 		if !sleep(ctx, pause) {
