--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -533,36 +533,52 @@
 	Serving bool
 }
 
-// LocateHome returns an account's home, its state as seen by this instance, and
-// the fraction of the rate that this instance may use by itself. members
-// includes this instance, with Running and Reachable set.
-func LocateHome(self fleet.InstanceID, account fleet.AccountID, members []Member) (home fleet.InstanceID, state HomeState, fraction float64) {
-	ids := make([]fleet.InstanceID, 0, len(members))
+// Homes locates the homes of accounts among the members that one instance knows.
+type Homes struct {
+	self fleet.InstanceID
+	// candidates are the members that can be homes.
+	candidates []fleet.InstanceID
+	askable    map[fleet.InstanceID]bool
+	// equal is the fraction of the rate of each running member if all have the same,
+	// reserved the sum of those of the members that are not reached.
+	equal, reserved float64
+}
+
+// NewHomes returns the homes as seen by an instance. members includes it, with Running and
+// Reachable set.
+func NewHomes(self fleet.InstanceID, members []Member) *Homes {
+	h := &Homes{self: self, askable: make(map[fleet.InstanceID]bool, len(members))}
 	running, unreachable := 0, 0
-	askable := map[fleet.InstanceID]bool{}
 	for _, m := range members {
 		if !m.Running {
 			continue
 		}
 		running++
 		if m.Serving {
-			ids = append(ids, m.ID)
+			h.candidates = append(h.candidates, m.ID)
 		}
-		askable[m.ID] = m.Reachable || m.FirstCallPending
+		h.askable[m.ID] = m.Reachable || m.FirstCallPending
 		if !m.Reachable {
 			unreachable++
 		}
 	}
-	localFraction := 1 / float64(max(1, running))
-	if len(ids) == 0 {
-		return self, HomeUnreachable, localFraction
+	h.equal = 1 / float64(max(1, running))
+	h.reserved = float64(unreachable) * h.equal
+	return h
+}
+
+// Locate returns an account's home, its state as seen by the instance, and the fraction of
+// the rate that the instance may use by itself.
+func (h *Homes) Locate(account fleet.AccountID) (home fleet.InstanceID, state HomeState, fraction float64) {
+	if len(h.candidates) == 0 {
+		return h.self, HomeUnreachable, h.equal
 	}
-	home = fleet.First("account/"+string(account), ids)
+	home = fleet.First("account/"+string(account), h.candidates)
 	switch {
-	case home == self:
-		return home, HomeLocal, 1 - float64(unreachable)*localFraction
-	case !askable[home]:
-		return home, HomeUnreachable, localFraction
+	case home == h.self:
+		return home, HomeLocal, 1 - h.reserved
+	case !h.askable[home]:
+		return home, HomeUnreachable, h.equal
 	}
-	return home, HomeRemote, localFraction
+	return home, HomeRemote, h.equal
 }
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -18,6 +18,11 @@
 	return map[fleet.AccountID]catalog.Account{"acme": {ID: "acme", Rate: rate, Burst: burst}}
 }
 
+// locateHome returns an account's home as seen by an instance.
+func locateHome(self fleet.InstanceID, account fleet.AccountID, members []Member) (fleet.InstanceID, HomeState, float64) {
+	return NewHomes(self, members).Locate(account)
+}
+
 // fleetSim simulates instances that call their account's home without delay.
 type fleetSim struct {
 	ids       []fleet.InstanceID
@@ -65,7 +70,7 @@
 	f.now = now
 	for _, id := range f.ids {
 		if f.running[id] {
-			_, state, fraction := LocateHome(id, "acme", f.members(id))
+			_, state, fraction := locateHome(id, "acme", f.members(id))
 			f.limiters[id].SetHome(now, "acme", state, fraction)
 		}
 	}
@@ -79,7 +84,7 @@
 	case Refused:
 		return false
 	}
-	home, _, fraction := LocateHome(at, "acme", f.members(at))
+	home, _, fraction := locateHome(at, "acme", f.members(at))
 	if !f.reachable(at, home) {
 		return l.AdmitWithoutHome(now, "acme", fraction)
 	}
@@ -112,15 +117,15 @@
 func TestNewHomeKeepsStartTokens(t *testing.T) {
 	f := newFleet(36, false, limits(15, 15))
 	members := f.members("a")
-	home, _, _ := LocateHome("a", "acme", members)
+	home, _, _ := locateHome("a", "acme", members)
 	for i := range members {
 		members[i].Reachable, members[i].FirstCallPending = members[i].ID == home, members[i].ID != home
 	}
 	l := f.limiters[home]
-	_, state, fraction := LocateHome(home, "acme", members)
+	_, state, fraction := locateHome(home, "acme", members)
 	assert.Equal(t, state, HomeLocal)
 	l.SetHome(0, "acme", state, fraction)
-	_, state, fraction = LocateHome(home, "acme", f.members(home))
+	_, state, fraction = locateHome(home, "acme", f.members(home))
 	l.SetHome(20*time.Millisecond, "acme", state, fraction)
 	_, status := l.Grant(20*time.Millisecond, "acme", 30, nil)
 	assert.Equal(t, status, Settling)
@@ -134,7 +139,7 @@
 func TestHomeIsAskedDuringFirstCall(t *testing.T) {
 	f := newFleet(4, false, limits(15, 15))
 	self := f.ids[0]
-	home, _, _ := LocateHome(self, "acme", f.members(self))
+	home, _, _ := locateHome(self, "acme", f.members(self))
 	if home == self {
 		self = f.ids[1]
 	}
@@ -142,7 +147,7 @@
 	for i := range members {
 		members[i].Reachable, members[i].FirstCallPending = members[i].ID == self, members[i].ID != self
 	}
-	_, state, fraction := LocateHome(self, "acme", members)
+	_, state, fraction := locateHome(self, "acme", members)
 	f.limiters[self].SetHome(0, "acme", state, fraction)
 	assert.Equal(t, f.limiters[self].Admit(0, "acme"), AskHome)
 }
@@ -252,7 +257,7 @@
 		now := time.Duration(i) * time.Second / 40
 		f.updateHomes(now)
 		if i%120 == 119 {
-			home, _, _ := LocateHome("a", "acme", f.members("a"))
+			home, _, _ := locateHome("a", "acme", f.members("a"))
 			f.running[home] = false
 			f.updateHomes(now)
 		}
@@ -279,7 +284,7 @@
 func TestAllTrafficAtOneInstanceAfterLoss(t *testing.T) {
 	for n := 2; n <= 36; n += 17 {
 		f := newFleet(n, true, limits(300, 300))
-		home, _, _ := LocateHome("a", "acme", f.members("a"))
+		home, _, _ := locateHome("a", "acme", f.members("a"))
 		at := f.ids[0]
 		if at == home {
 			at = f.ids[1]
@@ -322,7 +327,7 @@
 	f := newFleet(36, true, limits(40, 40))
 	cut := map[fleet.InstanceID]bool{}
 	f.reachable = func(a, b fleet.InstanceID) bool { return a == b || !cut[a] && !cut[b] }
-	home, _, _ := LocateHome("a", "acme", f.members("a"))
+	home, _, _ := locateHome("a", "acme", f.members("a"))
 	admitted, asked := 0, 0
 	for i := range 12 * 25 {
 		now := time.Duration(i) * time.Second / 25
--- /dev/null
+++ b/edge/control/bench_test.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/kvstore"
+	"github.com/vanillahinge/vanillahinge/edge/clock"
+	"github.com/vanillahinge/vanillahinge/edge/pool"
+	"github.com/vanillahinge/vanillahinge/edge/telemetry"
+)
+
+// largeController returns a controller in a fleet of n instances in 5 data centres with 20
+// groups of 3 endpoints and 190 accounts. Nothing of it runs.
+func largeController(tb testing.TB, n int) *Controller {
+	clk, m, log := clock.New(), telemetry.NewMetrics(), telemetry.NewLog(io.Discard, "i0")
+	cat := &catalog.Catalog{Version: 1, Accounts: map[fleet.AccountID]catalog.Account{}, Groups: map[fleet.GroupID]catalog.Group{}}
+	for i := range 190 {
+		id := fleet.AccountID(fmt.Sprint("account-", i))
+		cat.Accounts[id] = catalog.Account{ID: id, Rate: 20, Burst: 20}
+	}
+	for i := range 20 {
+		id := fleet.GroupID(fmt.Sprint("group-", i))
+		cat.Groups[id] = catalog.Group{ID: id, MaxConnections: 216}
+	}
+	c := New(Config{Self: catalog.Member{ID: "i0", DataCentre: "z0", Addr: "127.0.0.1:1"}, Clock: clk, Store: unavailableStore{}, Log: log, Metrics: m,
+		Pool: pool.New(clk, nil, log, m, "z0"), Limiter: NewLimiter(clk, m, true, catalog.Tolerance{Window: 5 * time.Second}),
+		Schema: Schema{OperatorTable: "operator", EndpointTable: "endpoints", FleetTable: "own", ConfigKey: "config",
+			DecodeCatalog: func([]byte) (*catalog.Catalog, error) { return cat, nil },
+			DecodeEndpoint: func(r kvstore.Row) (catalog.Endpoint, error) {
+				var e catalog.Endpoint
+				return e, json.Unmarshal(r.Value, &e)
+			}}})
+	c.ctx = context.Background()
+	var endpoints []kvstore.Row
+	for i := range 60 {
+		value, err := json.Marshal(catalog.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i)), Group: fleet.GroupID(fmt.Sprint("group-", i/3)), Addr: "127.0.0.1:1",
+			DataCentre: fleet.DataCentre(fmt.Sprint("z", i%3)), Slots: 4, Primary: i%3 == 0})
+		assert.NilError(tb, err)
+		endpoints = append(endpoints, kvstore.Row{Table: "endpoints", Key: fmt.Sprint("e", i), Version: uint64(i + 1), Value: value})
+	}
+	c.replaceTable("operator", []kvstore.Row{{Table: "operator", Key: "config", Version: 1, Value: []byte("x")}}, 1)
+	c.replaceTable("own", largeMembers(tb, n), uint64(n))
+	c.replaceTable("endpoints", endpoints, 60)
+	return c
+}
+
+func largeMembers(tb testing.TB, n int) []kvstore.Row {
+	var rows []kvstore.Row
+	for i := range n {
+		value, err := json.Marshal(catalog.Member{ID: fleet.InstanceID(fmt.Sprint("i", i)), DataCentre: fleet.DataCentre(fmt.Sprint("z", i%5)), Addr: "127.0.0.1:1", Capacity: 0.5})
+		assert.NilError(tb, err)
+		rows = append(rows, kvstore.Row{Table: "own", Key: fmt.Sprint(memberPrefix, "i", i), Version: uint64(i + 1), Value: value})
+	}
+	return rows
+}
+
+// BenchmarkTick measures the work that an instance does every evaluationInterval.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{4, 34, 118, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := largeController(b, n)
+			c.leaving = true // no registrations
+			for b.Loop() {
+				c.updateRole(c.Clock.Now())
+				c.probeDownPeers(c.ctx, c.Clock.Now())
+				c.evaluatePrimaries(c.ctx)
+				c.removeGoneMembers(c.ctx, c.Clock.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkMembersChange measures what a change of the members costs.
+func BenchmarkMembersChange(b *testing.B) {
+	for _, n := range []int{4, 34, 118, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := largeController(b, n)
+			extra := largeMembers(b, n+1)[n]
+			for i := 0; b.Loop(); i++ {
+				extra.Version = uint64(1000 + i)
+				extra.Deleted = i%2 == 1
+				c.applyChanges("own", []kvstore.Row{extra}, extra.Version)
+			}
+		})
+	}
+}
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -262,8 +262,9 @@
 		close(l.firstContact)
 	}
 	var handOff map[*peer]map[fleet.AccountID]float64
+	located := ratelimit.NewHomes(self, members)
 	for _, id := range l.buckets.Accounts() {
-		home, state, fraction := ratelimit.LocateHome(self, id, members)
+		home, state, fraction := located.Locate(id)
 		if state == ratelimit.HomeLocal && !inContact {
 			state, fraction = ratelimit.HomeUnreachable, 1/float64(max(1, len(members)))
 		}
