control: registrations of users are told together, like members that join

At the start of n instances 20 groups get three users each; each registration was told to every instance at once. Changes of primaries are told at once as before (TestNewMembersCanWait).

--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -131,6 +131,9 @@
 	// announced is set when the holder has announced the settled record before
 	// the table has it.
 	announced bool
+	// changedVersion is the version of the newest record that changed more than the
+	// users of the primary.
+	changedVersion uint64
 	// confirmedVersion is the version of the newest record for which this instance
 	// has stopped using earlier primaries.
 	confirmedVersion uint64
@@ -302,6 +305,9 @@
 	if l.Version < old.Version || l.Version == old.Version && (old.Settled || !l.Settled) {
 		return false
 	}
+	if !l.Settled || l.Term != old.Term || l.Primary != old.Primary && old.Version > 0 {
+		g.changedVersion = l.Version
+	}
 	g.announced = l.Version == old.Version
 	g.record, g.learnedAt = l, c.Clock.Now()
 	c.Log.Info("control: leadership record adopted", "group", string(l.Group), "version", l.Version, "term", uint64(l.Term),
--- a/edge/control/control_test.go
+++ b/edge/control/control_test.go
@@ -301,7 +301,8 @@
 	assert.Assert(t, calls > 0 && calls <= 25, "%d calls in 2 s", calls)
 }
 
-// Members that join are told together, changes of primaries and of other tables at once.
+// Members that join and users that register are told together, changes of primaries at
+// once.
 func TestNewMembersCanWait(t *testing.T) {
 	c := startController(t, 2)
 	member := func(version uint64) kvstore.Row {
@@ -322,9 +323,16 @@
 	}
 	check(canWait, member(2))
 	check(canWait, member(3))
-	record, err := json.Marshal(catalog.Leadership{Group: "bookings", Term: 2})
-	assert.NilError(t, err)
-	check(urgent, kvstore.Row{Table: "own", Key: leaderPrefix + "bookings", Version: 4, Value: record})
+	record := func(version uint64, l catalog.Leadership) kvstore.Row {
+		value, err := json.Marshal(l)
+		assert.NilError(t, err)
+		return kvstore.Row{Table: "own", Key: leaderPrefix + "bookings", Version: version, Value: value}
+	}
+	users := []fleet.InstanceID{"peer-0", "self"}
+	check(canWait, record(4, catalog.Leadership{Group: "bookings", Primary: "e1", Settled: true, Users: users}))
+	check(urgent, record(5, catalog.Leadership{Group: "bookings", Term: 2, Former: "e1", Users: users}))
+	check(urgent, record(6, catalog.Leadership{Group: "bookings", Term: 2, Primary: "e2", Former: "e1", Settled: true, Users: users}))
+	check(canWait, record(7, catalog.Leadership{Group: "bookings", Term: 2, Primary: "e2", Former: "e1", Settled: true, Users: users[:1]}))
 }
 
 // Guards against an instance that counts as away for good for those that it told that it
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -156,6 +156,7 @@
 			failures = 0
 		}
 		c.heldFeeds.seeVersion(c.Clock.Now(), asOf)
+		pause := feedBatchInterval
 		replace := readWhole
 		readWhole, compacted = false, false
 		after = max(after, asOf)
@@ -163,7 +164,11 @@
 			if replace {
 				c.replaceTable(f.table, got, asOf)
 			} else {
+				before := c.tables[f.table].asOf
 				c.applyChanges(f.table, got, asOf)
+				if f.renewsLease && c.onlyMembersAndUsers(got, before) {
+					pause = patientHold
+				}
 			}
 			if f.renewsLease {
 				proof := start
@@ -177,15 +182,7 @@
 		}) != nil {
 			return
 		}
-		pause := time.Duration(0)
-		switch {
-		case len(got) == 0:
-		case f.renewsLease && onlyMembers(got):
-			pause = patientHold
-		default:
-			pause = feedBatchInterval
-		}
-		if pause > 0 && !sleep(ctx, pause) {
+		if len(got) > 0 && !sleep(ctx, pause) {
 			return
 		}
 	}
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -453,14 +453,15 @@
 const (
 	// noNews: at the end of the hold.
 	noNews urgency = iota
-	// canWait: after patientHold, so that members that join one after the other are told
-	// together. At a start of hundreds of instances each of them changes the table.
+	// canWait: after patientHold, so that members that join and users that register one
+	// after the other are told together. At a start of hundreds of instances each of them
+	// changes the table.
 	canWait
 	// urgent: at once.
 	urgent
 )
 
-// patientHold is how long a call is held that brings only changes of members.
+// patientHold is how long a call is held that brings only changes of members and users.
 const patientHold = 300 * time.Millisecond
 
 // hear records that an instance is waiting for changes.
@@ -516,7 +517,7 @@
 				res.Tables = map[string]peerrpc.TableChange{}
 			}
 			res.Tables[name] = change
-			if name == c.Schema.FleetTable && !change.Complete && onlyMembers(change.Rows) {
+			if name == c.Schema.FleetTable && !change.Complete && c.onlyMembersAndUsers(change.Rows, req.Tables[name].AsOf) {
 				news = max(news, canWait)
 			} else {
 				news = urgent
@@ -540,9 +541,16 @@
 	return res, news
 }
 
-// onlyMembers reports whether rows of the fleet's table are records of members.
-func onlyMembers(rows []kvstore.Row) bool {
-	return !slices.ContainsFunc(rows, func(r kvstore.Row) bool { return !strings.HasPrefix(r.Key, memberPrefix) })
+// onlyMembersAndUsers reports whether rows of the fleet's table, which a copy as of a
+// version lacks, bring only changes of members and of the users of primaries.
+func (c *Controller) onlyMembersAndUsers(rows []kvstore.Row, asOf uint64) bool {
+	return !slices.ContainsFunc(rows, func(r kvstore.Row) bool {
+		if id, ok := strings.CutPrefix(r.Key, leaderPrefix); ok {
+			g := c.groups[fleet.GroupID(id)]
+			return g == nil || g.changedVersion > asOf
+		}
+		return !strings.HasPrefix(r.Key, memberPrefix)
+	})
 }
 
 // changesFor returns the rows that another copy of the table lacks; false if none.
