--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -273,6 +273,9 @@
 
 // markDown makes a peer count as down.
 func (c *Controller) markDown(p *peer, notRunning bool) {
+	if p.down && p.notRunning == notRunning {
+		return // told by many operations at once
+	}
 	if !p.down {
 		p.probePause = minProbePause
 		p.probeAt = c.Clock.Now() + p.probePause
