--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -402,13 +402,18 @@
 		assert.Assert(t, strings.Contains(c.query(fmt.Sprintf("FETCH roof%d", i)), fmt.Sprintf("ROW v%d|", i)))
 		sessions = append(sessions, c)
 	}
-	keepers := map[fleet.InstanceID]bool{}
-	for _, a := range f.apps {
-		k := a.control.Keepers("bookings")
-		assert.Assert(t, len(k) > 0)
-		keepers[k[0].ID] = true
-	}
-	assert.Equal(t, len(keepers), 1, "all know the same keeper")
+	var keeper fleet.InstanceID
+	f.waitUntil(5*time.Second, func() bool { // all know the four members, and so the same keeper
+		keeper = ""
+		for _, a := range f.apps {
+			k := a.control.Keepers("bookings")
+			if len(k) == 0 || keeper != "" && k[0].ID != keeper {
+				return false
+			}
+			keeper = k[0].ID
+		}
+		return true
+	})
 	store := platform.NewStore(f.storeAddr)
 	f.waitUntil(15*time.Second, func() bool {
 		rows, _, err := store.ReadTable(context.Background(), platform.FleetTable)
@@ -424,7 +429,7 @@
 	// The keeper stops; the sessions of the others go on.
 	stopped := 0
 	for i, a := range f.apps {
-		if keepers[a.settings.Instance] {
+		if a.settings.Instance == keeper {
 			stopped = i
 		}
 	}
