--- a/edge/control/bench_test.go
+++ b/edge/control/bench_test.go
@@ -18,16 +18,16 @@
 	"github.com/vanillahinge/vanillahinge/edge/telemetry"
 )
 
-// largeController returns a controller in a fleet of n instances in 5 data centres with 20
+// largeController returns a controller in a fleet of n instances in 5 data centres with
 // groups of 3 endpoints and 190 accounts. Nothing of it runs.
-func largeController(tb testing.TB, n int) *Controller {
+func largeController(tb testing.TB, n, groups int) *Controller {
 	clk, m, log := clock.New(), telemetry.NewMetrics(), telemetry.NewLog(io.Discard, "i0")
 	cat := &catalog.Catalog{Version: 1, Accounts: map[fleet.AccountID]catalog.Account{}, Groups: map[fleet.GroupID]catalog.Group{}}
 	for i := range 190 {
 		id := fleet.AccountID(fmt.Sprint("account-", i))
 		cat.Accounts[id] = catalog.Account{ID: id, Rate: 20, Burst: 20}
 	}
-	for i := range 20 {
+	for i := range groups {
 		id := fleet.GroupID(fmt.Sprint("group-", i))
 		cat.Groups[id] = catalog.Group{ID: id, MaxConnections: 216}
 	}
@@ -41,7 +41,7 @@
 			}}})
 	c.ctx = context.Background()
 	var endpoints []kvstore.Row
-	for i := range 60 {
+	for i := range 3 * groups {
 		value, err := json.Marshal(catalog.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i)), Group: fleet.GroupID(fmt.Sprint("group-", i/3)), Addr: "127.0.0.1:1",
 			DataCentre: fleet.DataCentre(fmt.Sprint("z", i%3)), Slots: 4, Primary: i%3 == 0})
 		assert.NilError(tb, err)
@@ -49,7 +49,7 @@
 	}
 	c.replaceTable("operator", []kvstore.Row{{Table: "operator", Key: "config", Version: 1, Value: []byte("x")}}, 1)
 	c.replaceTable("own", largeMembers(tb, n), uint64(n))
-	c.replaceTable("endpoints", endpoints, 60)
+	c.replaceTable("endpoints", endpoints, uint64(len(endpoints)))
 	return c
 }
 
@@ -65,9 +65,9 @@
 
 // BenchmarkTick measures the work that an instance does every evaluationInterval.
 func BenchmarkTick(b *testing.B) {
-	for _, n := range []int{4, 34, 118, 300} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := largeController(b, n)
+	for _, size := range [][2]int{{4, 20}, {34, 20}, {118, 20}, {300, 20}, {118, 200}} {
+		b.Run(fmt.Sprintf("%d instances, %d groups", size[0], size[1]), func(b *testing.B) {
+			c := largeController(b, size[0], size[1])
 			c.leaving = true // no registrations
 			for b.Loop() {
 				c.updateRole(c.Clock.Now())
@@ -83,7 +83,7 @@
 func BenchmarkMembersChange(b *testing.B) {
 	for _, n := range []int{4, 34, 118, 300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := largeController(b, n)
+			c := largeController(b, n, 20)
 			extra := largeMembers(b, n+1)[n]
 			for i := 0; b.Loop(); i++ {
 				extra.Version = uint64(1000 + i)
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -328,8 +328,8 @@
 	var former catalog.Endpoint
 	syncReplicas := 0
 	if c.runInLoop(ctx, func() {
-		for _, e := range c.listed {
-			if e.Group == ch.old.Group && e.ID != ch.record.Former {
+		for _, e := range c.listedByGroup[ch.old.Group] {
+			if e.ID != ch.record.Former {
 				replicas = append(replicas, e)
 			}
 		}
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -82,6 +82,8 @@
 	// Only the control goroutine may use the fields below.
 	tables  map[string]*table
 	catalog *catalog.Catalog
+	// listedByGroup holds the same endpoints as listed.
+	listedByGroup map[fleet.GroupID][]catalog.Endpoint
 	// listed holds the endpoints in the platform's list; unlisted holds those that
 	// have left it within unlistedRetention, with the time at which they left.
 	// lastEntries holds the latest entry of each endpoint in either.
@@ -352,8 +354,8 @@
 		return g.record
 	}
 	l := catalog.Leadership{Group: id, Settled: true}
-	for _, e := range c.listed {
-		if e.Group == id && e.Primary {
+	for _, e := range c.listedByGroup[id] {
+		if e.Primary {
 			if l.Primary != "" {
 				return catalog.Leadership{Group: id, Settled: true}
 			}
@@ -496,8 +498,8 @@
 		}
 	}
 	s.FailingSince, s.Failing = c.Pool.FailingSince(record.Primary)
-	for _, other := range c.listed {
-		if other.Group == id && !other.Leaving && other.ID != record.Primary {
+	for _, other := range c.listedByGroup[id] {
+		if !other.Leaving && other.ID != record.Primary {
 			s.Candidates++
 		}
 	}
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -146,6 +146,10 @@
 				"primary", e.Primary)
 		}
 	}
+	c.listedByGroup = make(map[fleet.GroupID][]catalog.Endpoint, len(c.listedByGroup))
+	for _, e := range c.listed {
+		c.listedByGroup[e.Group] = append(c.listedByGroup[e.Group], e)
+	}
 	for id, e := range before {
 		if _, ok := c.listed[id]; !ok {
 			c.Log.Info("control: endpoint no longer listed", "endpoint", string(id), "group", string(e.Group))
