--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -181,6 +181,9 @@
 	if len(gone) == 0 {
 		gone = c.needlessUsers(now, id, g, record)
 	}
+	if len(gone) == 0 {
+		gone = record.Removed // another instance has begun and not finished
+	}
 	if len(gone) == 0 {
 		return
 	}
