--- a/edge/control/control_test.go
+++ b/edge/control/control_test.go
@@ -52,6 +52,8 @@
 	// next Grant calls get no response. A silent peer answers no Watch call.
 	failing, unanswered int
 	silent              bool
+	// confirms is set if the peer confirms each change of a primary.
+	confirms bool
 	// staleProof is set if the peer's proof is old.
 	staleProof bool
 	// version is the version of the configuration, padding makes it larger.
@@ -100,7 +102,10 @@
 	return a, nil
 }
 
-func (p *fakePeer) Confirm(context.Context, *peerrpc.ConfirmRequest) (*peerrpc.ConfirmResponse, error) {
+func (p *fakePeer) Confirm(_ context.Context, req *peerrpc.ConfirmRequest) (*peerrpc.ConfirmResponse, error) {
+	if p.confirms {
+		return &peerrpc.ConfirmResponse{Version: req.Record.Version}, nil
+	}
 	return nil, errUnavailable
 }
 func (p *fakePeer) Reach(context.Context, *peerrpc.ReachRequest) (*peerrpc.ReachResponse, error) {
