control: a refused connection does not show that a process has ended

Cause: a refused connection was taken for proof that no process runs at an instance's address. A network may refuse connections on behalf of a machine that it cuts off. So a user with a valid permission counted as having confirmed a change, as a part of a majority, and as having acknowledged the list of users; a holder that goes on counted as stopped; and an instance that was refused by all took itself for the root of the whole fleet and the home of all accounts.

Fix: a refusal is a call without an answer. What a user that does not answer may still do is bounded by its permission, as before. An instance that stops as asked says so itself: after its last statement it removes itself from the users of primaries and marks its member record as left, so that planned work costs nobody a wait. GoneHome, which passed the evidence on, is gone. An instance acts for the fleet only once its copy of the table has its own record.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -160,6 +160,14 @@
 	return l
 }
 
+// WithoutUser returns the record without one of its users.
+func (l Leadership) WithoutUser(id fleet.InstanceID) Leadership {
+	same := func(u fleet.InstanceID) bool { return u == id }
+	l.Users = slices.DeleteFunc(slices.Clone(l.Users), same)
+	l.Removed = slices.DeleteFunc(slices.Clone(l.Removed), same)
+	return l
+}
+
 // Member is an instance of the fleet.
 type Member struct {
 	ID         fleet.InstanceID
@@ -169,4 +177,7 @@
 	Addr, ForwardAddr string
 	// Capacity is the processor share of the instance's machine, in cores.
 	Capacity float64
+	// Left is set when the instance's last process has stopped as asked. The next one
+	// registers again before it acts for the fleet.
+	Left bool `json:",omitempty"`
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -2,7 +2,8 @@
 // that no instance uses an old primary after another one has taken over.
 //
 // Invariant: a change of primary takes effect only when each member has confirmed the
-// change, is known not to run, or has no proof younger than Duration. A proof of time
+// change or has no proof younger than Duration. A member that does not answer, or whose
+// address refuses connections, may run: the network may have cut it off. A proof of time
 // t states that no change of primary unknown to this instance was claimed before t.
 //
 // A proof comes from the store (a read of the leadership records that started at t) or
@@ -14,7 +15,8 @@
 //
 // The list of members changes by one addition at a time, and only once a majority of the
 // list before has acknowledged it; a member is removed only after a majority has
-// acknowledged that it is about to be. So a majority of a list that is out of date has a
+// acknowledged that it is about to be, or by itself after it has stopped sending and
+// responding. So a majority of a list that is out of date has a
 // member in common with one that knows a later list, and cannot extend a lease any more.
 //
 // Proofs from before the start of the process do not count, and a member counts
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -524,7 +524,7 @@
 // Member is what an instance knows of another.
 type Member struct {
 	ID fleet.InstanceID
-	// Running is false when no process listens there.
+	// Running is false when its process has left the fleet.
 	Running bool
 	// Reachable is true when calls to it succeed, FirstCallPending while the
 	// first call since it became known has not ended.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -176,7 +176,7 @@
 // Absent returns, at the root, the members other than self that nobody has heard, in
 // ascending order. ok is false while this instance cannot tell: it is not the root, has
 // been for too short a time, or knows too few to speak for the fleet. stopped is the
-// number of members at whose address no process runs.
+// number of members whose processes have left the fleet.
 func (p *Presence) Absent(now time.Duration, self fleet.InstanceID, members []Member, stopped int) (absent []fleet.InstanceID, ok bool) {
 	heard := p.Heard(now)
 	if !p.hasRoot || now < p.rootSince+rootGrace || !Quorum(len(heard)+1, stopped, len(members)) {
@@ -197,6 +197,6 @@
 const ContactFor = HeardFor - 200*time.Millisecond
 
 // Quorum reports whether the root knows enough of the members to speak for the fleet:
-// it hears them, itself included, or knows that no process runs there. An instance that
+// it hears them, itself included, or knows that they have left. An instance that
 // is cut off from the others takes itself for the root.
 func Quorum(heard, stopped, members int) bool { return 2*(heard+stopped) > members }
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -44,8 +44,7 @@
 // Confirmation is what is known of one member during a change of primary.
 type Confirmation struct {
 	Member fleet.InstanceID
-	// Confirmed is set if the member had stopped sending to the old primary at time At,
-	// or if no process was running there at that time.
+	// Confirmed is set if the member had stopped sending to the old primary at time At.
 	Confirmed bool
 	At        time.Duration
 }
@@ -53,8 +52,7 @@
 // EffectiveAt returns the time from which no member uses the old primary any more, for
 // a change claimed at claimed. It returns false while fewer than a majority of the
 // members have confirmed. Package lease explains why a majority and a wait are
-// enough. A member that does not run counts as confirmed: a process that starts there
-// later needs a proof from after its start and so learns of the change.
+// enough.
 func EffectiveAt(claimed time.Duration, members []Confirmation) (time.Duration, bool) {
 	var at []time.Duration
 	for _, m := range members {
@@ -160,8 +158,7 @@
 	// RecordLearnedAt is when this instance learned the record.
 	RecordLearnedAt time.Duration
 	// HolderStopped reports that the process which claimed an unsettled change no longer
-	// runs: it was an earlier process of this instance, or its port refuses
-	// connections.
+	// runs: it was an earlier process of this instance, or it has left the fleet.
 	HolderStopped bool
 	// Listed reports whether the primary is in the platform's list, and MissingSince
 	// when it disappeared from it.
--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -304,6 +304,7 @@
 	c.a.forwardServer.Leave()
 	c.a.engine.Shutdown(ctx, within)
 	c.a.forwardServer.Drain(ctx, transactionDeadline)
+	c.a.control.Deregister(ctx)
 	if l := c.l.Load(); l != nil {
 		return c.drainQueue(l)
 	}
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -254,11 +254,11 @@
 }
 
 // requestConfirmation calls one member until it confirms the change or the claim
-// is no longer valid. A member that does not run counts as confirmed.
+// is no longer valid. A refused connection confirms nothing: a network may refuse it on
+// behalf of a machine that it cuts off.
 func (ch *primaryChange) requestConfirmation(ctx context.Context, id fleet.InstanceID, confirmed func(at time.Duration)) {
 	c := ch.ctl
 	for ch.claimValid(ctx) {
-		start := c.Clock.Now()
 		if id == c.Self.ID {
 			res, err := c.Confirm(ctx, &peerrpc.ConfirmRequest{Record: ch.record})
 			if err == nil && res.Version >= ch.record.Version {
@@ -274,15 +274,9 @@
 		call, cancel := context.WithTimeout(ctx, confirmTimeout)
 		res, err := p.client.Confirm(call, &peerrpc.ConfirmRequest{Record: ch.record})
 		cancel()
-		switch {
-		case err == nil && res.Version >= ch.record.Version:
+		if err == nil && res.Version >= ch.record.Version {
 			confirmed(c.Clock.Now())
 			return
-		case errors.Is(err, peerrpc.ErrNotRunning):
-			// A process that starts there later gets no lease without learning of
-			// the claim.
-			confirmed(start)
-			return
 		}
 		if !sleep(ctx, changePollInterval) {
 			return
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -122,8 +122,10 @@
 	groupDataCentres map[fleet.GroupID]map[fleet.DataCentre]bool
 	// leaving is set once this instance shuts down; stopping is its copy for other
 	// goroutines.
-	leaving  bool
-	stopping atomic.Bool
+	leaving bool
+	// deregistered is set once it has ceased to be a user of primaries for good.
+	deregistered bool
+	stopping     atomic.Bool
 }
 
 // group is the state of one group's primary.
@@ -163,10 +165,11 @@
 	catalog.Member
 	client *peerrpc.Peer
 	// down is set after a call to the instance has failed, until one succeeds. It is
-	// probed at probeAt. notRunning is set if its address refused the connection.
-	down, notRunning bool
-	probeAt          time.Duration
-	probePause       time.Duration
+	// probed at probeAt. refused is set if its address refused the connection, which does
+	// not show that its process has ended.
+	down, refused bool
+	probeAt       time.Duration
+	probePause    time.Duration
 	// Until staleUntil another instance is preferred, because this one had no recent
 	// proof.
 	staleUntil time.Duration
@@ -414,7 +417,7 @@
 func (c *Controller) renewLease() {
 	renewed := false
 	for id, g := range c.groups {
-		if !g.record.MayUse(c.Self.ID) {
+		if !g.record.MayUse(c.Self.ID) || c.deregistered {
 			if _, had := c.leases[id]; had {
 				delete(c.leases, id)
 				renewed = true
@@ -467,7 +470,7 @@
 			c.checkHolder(ctx, now, g)
 		}
 		cause := takeover.ReplacementCause(s)
-		if cause == takeover.None || cause == takeover.Unreachable && now < g.changeStartedAt+reachRetryInterval {
+		if cause == takeover.None || !c.registered() || cause == takeover.Unreachable && now < g.changeStartedAt+reachRetryInterval {
 			continue
 		}
 		g.changing, g.changeStartedAt = true, now
@@ -488,7 +491,7 @@
 		Now: now, Record: record, RecordLearnedAt: c.groupState(id).learnedAt, Listed: listed, Leaving: e.Leaving,
 		Rank: c.keeperRank(id),
 	}
-	if p := c.peers[record.Holder]; record.Holder == c.Self.ID || p != nil && p.notRunning {
+	if m := c.members[record.Holder]; record.Holder == c.Self.ID || m.Left && c.tables[c.Schema.FleetTable].asOf >= record.Version {
 		s.HolderStopped = true
 	}
 	if !listed {
@@ -511,7 +514,7 @@
 	out := make([]ratelimit.Member, 0, len(c.peers)+1)
 	out = append(out, ratelimit.Member{ID: c.Self.ID, Running: true, Reachable: true, Serving: !c.leaving})
 	for _, p := range c.peers {
-		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.notRunning, Serving: now >= p.awayUntil && !c.absent[p.ID],
+		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.Left, Serving: now >= p.awayUntil && !c.absent[p.ID],
 			Reachable: !p.down && !c.absent[p.ID]})
 	}
 	slices.SortFunc(out, func(a, b ratelimit.Member) int { return cmp.Compare(a.ID, b.ID) })
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -297,23 +298,14 @@
 	return h.Sum64()
 }
 
-// register keeps this instance's member row in the fleet's table until ctx ends: it may be
-// removed while the instance is suspended or cut off.
+// register keeps this instance's member row in the fleet's table until ctx ends or the
+// instance leaves: it may be removed while the instance is suspended or cut off.
 func (c *Controller) register(ctx context.Context) {
-	key := memberPrefix + string(c.Self.ID)
-	value, err := json.Marshal(c.Self)
-	if err != nil {
-		c.Log.Warn("control: cannot encode this instance's member record", "error", err.Error())
-		return
-	}
 	for retry := minRetryDelay; ; {
-		known, current, version := false, false, uint64(0)
+		known, current := false, false
 		if c.runInLoop(ctx, func() {
 			known = c.tables[c.Schema.FleetTable].loaded
-			row, ok := c.tables[c.Schema.FleetTable].rows[key]
-			var m catalog.Member
-			current = ok && json.Unmarshal(row.Value, &m) == nil && m == c.Self
-			version = row.Version
+			current = c.registered() || c.leaving
 		}) != nil {
 			return
 		}
@@ -321,9 +313,8 @@
 		if !known {
 			pause = minRetryDelay
 		} else if !current {
-			row := kvstore.Row{Table: c.Schema.FleetTable, Key: key, Version: version, Value: value}
 			call, cancel := context.WithTimeout(ctx, readTimeout)
-			_, err := c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+			err := c.storeMember(call, c.Self)
 			cancel()
 			if err != nil {
 				c.Log.Warn("control: registration as a member failed", "error", err.Error())
@@ -335,3 +326,22 @@
 		}
 	}
 }
+
+// registered reports whether this instance's copy of the fleet's table has its member
+// record. Only control's goroutine may call it.
+func (c *Controller) registered() bool { return c.members[c.Self.ID] == c.Self }
+
+// storeMember stores this instance's member record on the condition that the stored one has
+// not changed.
+func (c *Controller) storeMember(ctx context.Context, m catalog.Member) error {
+	value, err := json.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("control: encode the member record: %w", err)
+	}
+	row := kvstore.Row{Table: c.Schema.FleetTable, Key: memberPrefix + string(m.ID), Value: value}
+	if err := c.runInLoop(ctx, func() { row.Version = c.tables[row.Table].rows[row.Key].Version }); err != nil {
+		return err
+	}
+	_, err = c.Store.Apply(ctx, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+	return err
+}
--- a/edge/control/homes.go
+++ b/edge/control/homes.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/ratelimit"
 	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
 )
@@ -23,7 +22,7 @@
 	if k := req.KnownLevel; k != nil {
 		known = &ratelimit.Level{Tokens: k.Tokens, Age: time.Duration(max(0, k.AgeMS)) * time.Millisecond}
 	}
-	for checked := false; ; {
+	for {
 		r, status := c.Limiter.Grant(req.Account, req.RequestedTokens, known)
 		switch status {
 		case ratelimit.Granted:
@@ -41,10 +40,7 @@
 			if !c.Limiter.started() && sleep(ctx, settlePollInterval) {
 				continue
 			}
-			if checked || req.GoneHome == "" || !c.checkGone(ctx, req.GoneHome) {
-				return &peerrpc.GrantResponse{NotHome: true}, nil
-			}
-			checked = true
+			return &peerrpc.GrantResponse{NotHome: true}, nil
 		}
 	}
 }
@@ -53,28 +49,6 @@
 // starts or has just become the home.
 const settlePollInterval = 10 * time.Millisecond
 
-// checkGone calls an instance at whose address another one has found no process, and
-// reports whether that is so.
-func (c *Controller) checkGone(ctx context.Context, id fleet.InstanceID) bool {
-	var p *peer
-	var req peerrpc.WatchRequest
-	gone := false
-	if c.runInLoop(ctx, func() {
-		if p = c.peers[id]; p != nil {
-			gone, req = p.notRunning, c.watchRequest(c.Clock.Now(), p, 0)
-		}
-	}) != nil || p == nil {
-		return false
-	}
-	if !gone {
-		c.watch(ctx, p, &req)
-		if c.runInLoop(ctx, func() { gone = p.notRunning }) != nil {
-			return false
-		}
-	}
-	return gone
-}
-
 // Leave serves the call of an instance that shuts down or is no longer the home of
 // some accounts, and takes over the tokens that it hands on.
 func (c *Controller) Leave(ctx context.Context, req *peerrpc.LeaveRequest) (*peerrpc.LeaveResponse, error) {
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -61,8 +61,6 @@
 	// fallbackFraction is the fraction of the rate that each instance admits if the
 	// home does not answer and all ask for the same.
 	fallbackFraction float64
-	// gone is the home before peer, if no process runs there.
-	gone fleet.InstanceID
 }
 
 // tokenRequest collects the operations of an account that wait for a token, so that
@@ -144,7 +142,7 @@
 			l.mu.Unlock()
 			continue
 		}
-		req := &peerrpc.GrantRequest{Account: account, RequestedTokens: l.buckets.TokensToRequest(start, account, len(waiting)), GoneHome: h.gone}
+		req := &peerrpc.GrantRequest{Account: account, RequestedTokens: l.buckets.TokensToRequest(start, account, len(waiting))}
 		if k := l.buckets.KnownLevel(start, account); k != nil {
 			req.KnownLevel = &peerrpc.KnownLevel{Tokens: k.Tokens, AgeMS: k.Age.Milliseconds() + 1}
 		}
@@ -154,7 +152,7 @@
 		if err == nil && got.NotHome {
 			err = errNotHome
 		}
-		if leaving := err == nil && got.Leaving; leaving || errors.Is(err, peerrpc.ErrNotRunning) {
+		if leaving := err == nil && got.Leaving; leaving || errors.Is(err, peerrpc.ErrRefused) {
 			l.onHomeGone(h.peer, leaving)
 			if l.homePeer(account) != h.peer {
 				l.mu.Lock()
@@ -199,7 +197,7 @@
 		call, cancel := context.WithTimeout(context.Background(), grantTimeout)
 		res, err = p.client.Grant(call, req)
 		cancel()
-		if err == nil || errors.Is(err, peerrpc.ErrNotRunning) {
+		if err == nil || errors.Is(err, peerrpc.ErrRefused) {
 			break
 		}
 	}
@@ -278,11 +276,7 @@
 			}
 			handOff[next][id] = n
 		}
-		assigned := accountHome{peer: next, fallbackFraction: 1 / float64(max(1, len(members)))}
-		if before := l.homes[id]; next != nil && before.peer != nil && before.peer.notRunning {
-			assigned.gone = before.peer.ID
-		}
-		l.homes[id] = assigned
+		l.homes[id] = accountHome{peer: next, fallbackFraction: 1 / float64(max(1, len(members)))}
 	}
 	return handOff
 }
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -200,10 +200,13 @@
 // updatePeers updates what depends on the list of members.
 func (c *Controller) updatePeers() {
 	for id, p := range c.peers {
-		if m, ok := c.members[id]; !ok || m.Addr != p.Addr {
+		m, ok := c.members[id]
+		if !ok || m.Addr != p.Addr {
 			p.client.Close()
 			delete(c.peers, id)
+			continue
 		}
+		p.Member = m
 	}
 	members := make([]relay.Member, 0, len(c.members))
 	for id, m := range c.members {
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
@@ -143,7 +144,7 @@
 func (c *Controller) joinUsers(ctx context.Context, now time.Duration, id fleet.GroupID, g *group) {
 	record := c.leadership(id)
 	if record.MayUse(c.Self.ID) || g.joining || now < g.nextJoin || c.leaving ||
-		!record.Settled || record.Primary == "" || c.members[c.Self.ID].ID == "" {
+		!record.Settled || record.Primary == "" || !c.registered() {
 		return
 	}
 	requested := g.joinRequestedAt > 0 && now < g.joinRequestedAt+joinRequestFor && c.presentUsers(record) < placement.UserCount
@@ -263,6 +264,41 @@
 	}) == nil
 }
 
+// leaveTimeout bounds the writes with which a stopping instance leaves the fleet.
+const leaveTimeout = 400 * time.Millisecond
+
+// Deregister removes this instance from the users of all primaries and marks its member
+// record, so that no change of primary waits for it. Call it once nothing more is sent to
+// endpoints. A removal that fails costs the next change the wait for this instance.
+func (c *Controller) Deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	var records []catalog.Leadership
+	if c.runInLoop(ctx, func() {
+		c.deregistered = true
+		c.renewLease()
+		for _, g := range c.groups {
+			if g.record.Settled && slices.Contains(g.record.Users, c.Self.ID) {
+				records = append(records, g.record.WithoutUser(c.Self.ID))
+			}
+		}
+	}) != nil {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, l := range records {
+		wg.Go(func() { c.storeRecord(ctx, &l) })
+	}
+	wg.Go(func() {
+		self := c.Self
+		self.Left = true
+		if err := c.storeMember(ctx, self); err != nil {
+			c.Log.Info("control: member record not marked as left", "error", err.Error())
+		}
+	})
+	wg.Wait()
+}
+
 // removeGoneMembers deletes the records of members that have been absent for long. An
 // instance that is not gone registers again; which instances may use a primary does not
 // depend on these records.
@@ -328,8 +364,7 @@
 const acknowledgeTimeout = 250 * time.Millisecond
 
 // majorityKnows reports whether a majority of the users of a primary acts on the record;
-// package lease says why another user may be added only then. A user that does not run
-// learns of it when it starts.
+// package lease says why another user may be added only then.
 func (c *Controller) majorityKnows(ctx context.Context, l catalog.Leadership) bool {
 	if len(l.Users) == 0 {
 		return true
@@ -349,7 +384,7 @@
 				return
 			}
 			res, err := peers[0].client.Confirm(call, &peerrpc.ConfirmRequest{Record: l})
-			answers <- err == nil && res.Version >= l.Version || errors.Is(err, peerrpc.ErrNotRunning)
+			answers <- err == nil && res.Version >= l.Version
 		}()
 	}
 	known := 0
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -133,7 +133,7 @@
 	}
 	stopped := 0
 	for _, p := range c.peers {
-		if p.notRunning {
+		if p.Left {
 			stopped++
 		}
 	}
@@ -263,24 +263,24 @@
 // recordPeerFailure records that a call to a peer failed. The peer counts as down until
 // a probe succeeds.
 func (c *Controller) recordPeerFailure(p *peer, err error) {
-	refused := errors.Is(err, peerrpc.ErrNotRunning)
+	refused := errors.Is(err, peerrpc.ErrRefused)
 	if !p.down {
-		c.Log.Info("control: instance does not answer", "peer", string(p.ID), "not_running", refused, "error", err.Error())
+		c.Log.Info("control: instance does not answer", "peer", string(p.ID), "refused", refused, "error", err.Error())
 	}
 	c.markDown(p, refused)
 	c.Metrics.Count("exchange_failures")
 }
 
 // markDown makes a peer count as down.
-func (c *Controller) markDown(p *peer, notRunning bool) {
-	if p.down && p.notRunning == notRunning {
+func (c *Controller) markDown(p *peer, refused bool) {
+	if p.down && p.refused == refused {
 		return // told by many operations at once
 	}
 	if !p.down {
 		p.probePause = minProbePause
 		p.probeAt = c.Clock.Now() + p.probePause
 	}
-	p.down, p.notRunning, p.reported = true, notRunning, nil
+	p.down, p.refused, p.reported = true, refused, nil
 	c.assignHomes()
 	c.publishPlacement()
 }
@@ -289,7 +289,7 @@
 func (c *Controller) recordPeerAnswer(p *peer, serving bool) {
 	now := c.Clock.Now()
 	changed := p.down || serving != (now >= p.awayUntil)
-	p.down, p.notRunning, p.awayUntil = false, false, 0
+	p.down, p.refused, p.awayUntil = false, false, 0
 	if !serving {
 		p.awayUntil = now + awayTime
 	}
--- a/edge/peerrpc/peerrpc.go
+++ b/edge/peerrpc/peerrpc.go
@@ -113,9 +113,6 @@
 	RequestedTokens int             `json:"w"`
 	// KnownLevel is what the caller knows of the account's bucket, nil if nothing.
 	KnownLevel *KnownLevel `json:"k,omitempty"`
-	// GoneHome is the home before the instance called, if the caller has found that no
-	// process runs there.
-	GoneHome fleet.InstanceID `json:"g,omitempty"`
 }
 
 // KnownLevel is the level of a bucket, in tokens, as known some milliseconds ago.
@@ -212,8 +209,9 @@
 	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressMinBytes)))
 }
 
-// ErrNotRunning means that no process listens on the address of the instance.
-var ErrNotRunning = errors.New("peerrpc: no process listens on the address of the instance")
+// ErrRefused means that the connection to the instance was refused: no process listens on
+// its address, or a network between refuses connections to it.
+var ErrRefused = errors.New("peerrpc: the connection to the instance was refused; it is called again")
 
 // Peer is a client for one other instance.
 type Peer struct {
@@ -250,7 +248,7 @@
 	res, err := c.CallUnary(ctx, connect.NewRequest(req))
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, fmt.Errorf("%w: %w", ErrNotRunning, err)
+			return nil, fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 		return nil, fmt.Errorf("peerrpc: %w", err)
 	}
