takeover: the lease on a new primary covers old connections (fails)

The lease is kept for the group, so a user that registers at the new primary before DrainPrimary has run may send on a connection to the former one.

--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -53,6 +53,17 @@
 	assert.Equal(t, v, "")
 }
 
+// lateSettled: as before, but c is told of the new primary, of which it is a user.
+const lateSettled = `a claims; a is confirmed by a; a is confirmed by b; time passes; time passes;
+	a calls the platform to promote endpoint 1; the platform promotes endpoint 1 for version 2;
+	a stores the new primary; b reads the store; c reads the store; c registers`
+
+// The lease on the new primary must not cover connections to the former one.
+func TestLeaseOnNewPrimaryCoversNoOldConnection(t *testing.T) {
+	v, _ := search{rules: rules{groupLease: edgeRules.groupLease, storeConfirmed: edgeRules.storeConfirmed}, n: 3, users: 3}.play(lateSettled)
+	assert.Equal(t, v, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them.
 func TestPlaysNeedTheirRules(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -60,6 +71,7 @@
 		script string
 	}{
 		"lateUnsettled": {search{rules: rules{renewWhileUnsettled: true}, n: 3, users: 3}, lateUnsettled},
+		"lateSettled":   {search{rules: rules{groupLease: true, storeConfirmed: true}, n: 3, users: 3}, lateSettled},
 	} {
 		v, impossible := c.play(c.script)
 		t.Logf("%s: %s", name, v)
