takeover: announced users need no common member with the stored ones (fails)

The settled record is announced with the users that have confirmed before the store has it. With five users, two of the three announced ones extend their leases while the other three, a majority of the stored list, carry out the next change.

--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -64,6 +64,28 @@
 	assert.Equal(t, v, "")
 }
 
+// divided: a, b and c confirm a change, and a announces its end to b and c, which are cut
+// off from the others then; the store never has the record. d takes the change over.
+const divided = `a claims; a is confirmed by a; a is confirmed by b; a is confirmed by c; time passes; time passes;
+	a calls the platform to promote endpoint 1; the platform promotes endpoint 1 for version 2;
+	b reads the store; c reads the store; d reads the store;
+	a announces the new primary to a; a announces the new primary to b; a announces the new primary to c;
+	time passes; b is answered by c; c is answered by b;
+	time passes; b is answered by c; c is answered by b;
+	time passes; b is answered by c; c is answered by b;
+	time passes; b is answered by c; c is answered by b;
+	d claims; d is confirmed by a; d is confirmed by d; d is confirmed by e;
+	time passes; b is answered by c; c is answered by b;
+	time passes; b is answered by c; c is answered by b;
+	d calls the platform to promote endpoint 2; the platform promotes endpoint 2 for version 3`
+
+// The users of an announced record must not be fewer than those of the stored one, since
+// majorities of the two need not have a member in common.
+func TestMajoritiesOfAnnouncedAndStoredUsersIntersect(t *testing.T) {
+	v, _ := search{rules: rules{announceBeforeStore: edgeRules.announceBeforeStore, announceConfirmed: edgeRules.announceConfirmed, storeConfirmed: edgeRules.storeConfirmed}, n: 5, users: 5}.play(divided)
+	assert.Equal(t, v, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them.
 func TestPlaysNeedTheirRules(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -72,6 +94,7 @@
 	}{
 		"lateUnsettled": {search{rules: rules{renewWhileUnsettled: true}, n: 3, users: 3}, lateUnsettled},
 		"lateSettled":   {search{rules: rules{groupLease: true, storeConfirmed: true}, n: 3, users: 3}, lateSettled},
+		"divided":       {search{rules: rules{announceBeforeStore: true, announceConfirmed: true}, n: 5, users: 5}, divided},
 	} {
 		v, impossible := c.play(c.script)
 		t.Logf("%s: %s", name, v)
