--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -86,6 +86,23 @@
 	assert.Equal(t, v, "")
 }
 
+// keptLease: c confirms a change and proves with d and e that it knows of no other. The
+// settled record has a, b and c as users; its announcement reaches c after the next change.
+const keptLease = `a claims; a is confirmed by a; a is confirmed by b; a is confirmed by c; time passes; time passes;
+	d is answered by c; e is answered by c; c is answered by d; c is answered by e;
+	a calls the platform to promote endpoint 1; the platform promotes endpoint 1 for version 2; a stores the new primary;
+	a claims; a is confirmed by a; a is confirmed by b;
+	time passes; c is answered by d; c is answered by e;
+	time passes; c is answered by d; c is answered by e;
+	a calls the platform to promote endpoint 2; the platform promotes endpoint 2 for version 4;
+	c gets the delayed announcement`
+
+// A lease that the users of one record extended must not hold under a record with others.
+func TestLeaseEndsWithUsersThatExtendedIt(t *testing.T) {
+	v, _ := search{rules: rules{renewWhileUnsettled: edgeRules.renewWhileUnsettled, keepLease: edgeRules.keepLease, announceBeforeStore: edgeRules.announceBeforeStore, announceConfirmed: edgeRules.announceConfirmed, storeConfirmed: edgeRules.storeConfirmed}, n: 5, users: 5, delays: true}.play(keptLease)
+	assert.Equal(t, v, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them.
 func TestPlaysNeedTheirRules(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -95,6 +112,7 @@
 		"lateUnsettled": {search{rules: rules{renewWhileUnsettled: true}, n: 3, users: 3}, lateUnsettled},
 		"lateSettled":   {search{rules: rules{groupLease: true, storeConfirmed: true}, n: 3, users: 3}, lateSettled},
 		"divided":       {search{rules: rules{announceBeforeStore: true, announceConfirmed: true}, n: 5, users: 5}, divided},
+		"keptLease":     {search{rules: rules{renewWhileUnsettled: true, keepLease: true, announceBeforeStore: true, announceConfirmed: true, storeConfirmed: true}, n: 5, users: 5, delays: true}, keptLease},
 	} {
 		v, impossible := c.play(c.script)
 		t.Logf("%s: %s", name, v)
