takeover: a suspended relay makes a proof younger (fails)

Watch takes the age of the proof and the time for which it held the call at two moments. A suspension between them makes the proof of the caller younger by as much.

--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -103,6 +103,17 @@
 	assert.Equal(t, v, "")
 }
 
+// relayed: d, which is no user, is suspended between taking the age of its proof and
+// taking the time for which it held the call of c.
+const relayed = `a claims; a is confirmed by a; a is confirmed by b; time passes; c is answered by d; time passes;
+	a calls the platform to promote endpoint 1; the platform promotes endpoint 1 for version 2`
+
+// A relayed proof must not become younger while the instance that relays it is suspended.
+func TestSuspendedRelayMakesNoProofYounger(t *testing.T) {
+	v, _ := search{rules: rules{relayTooYoung: edgeRules.relayTooYoung}, n: 4, users: 3}.play(relayed)
+	assert.Equal(t, v, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them.
 func TestPlaysNeedTheirRules(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -113,6 +124,7 @@
 		"lateSettled":   {search{rules: rules{groupLease: true, storeConfirmed: true}, n: 3, users: 3}, lateSettled},
 		"divided":       {search{rules: rules{announceBeforeStore: true, announceConfirmed: true}, n: 5, users: 5}, divided},
 		"keptLease":     {search{rules: rules{renewWhileUnsettled: true, keepLease: true, announceBeforeStore: true, announceConfirmed: true, storeConfirmed: true}, n: 5, users: 5, delays: true}, keptLease},
+		"relayed":       {search{rules: rules{relayTooYoung: true}, n: 4, users: 3}, relayed},
 	} {
 		v, impossible := c.play(c.script)
 		t.Logf("%s: %s", name, v)
