takeover: a refused connection counts as a confirmation while a process runs (fails)

The control goroutine reads the store, and so has a lease, before the port for instances listens; and the address of an instance that was restarted elsewhere may be out of date.

--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -114,6 +114,16 @@
 	assert.Equal(t, v, "")
 }
 
+// refused: b runs and has a lease while its port refuses the connection of the holder.
+const refused = `a claims; a is confirmed by a; a is refused by running b;
+	a calls the platform to promote endpoint 1; the platform promotes endpoint 1 for version 2`
+
+// A refused connection must not stand for a confirmation while a process has a lease.
+func TestRefusalOfRunningUserIsNoConfirmation(t *testing.T) {
+	v, _ := search{rules: rules{refusedWhileRunning: edgeRules.refusedWhileRunning}, n: 2, users: 2}.play(refused)
+	assert.Equal(t, v, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them.
 func TestPlaysNeedTheirRules(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -125,6 +135,7 @@
 		"divided":       {search{rules: rules{announceBeforeStore: true, announceConfirmed: true}, n: 5, users: 5}, divided},
 		"keptLease":     {search{rules: rules{renewWhileUnsettled: true, keepLease: true, announceBeforeStore: true, announceConfirmed: true, storeConfirmed: true}, n: 5, users: 5, delays: true}, keptLease},
 		"relayed":       {search{rules: rules{relayTooYoung: true}, n: 4, users: 3}, relayed},
+		"refused":       {search{rules: rules{refusedWhileRunning: true}, n: 2, users: 2}, refused},
 	} {
 		v, impossible := c.play(c.script)
 		t.Logf("%s: %s", name, v)
