takeover: silence of a feed renews the lease (fails)

An empty answer of a held call is taken for a proof up to its end, although the feed may have delivered nothing for a while.

--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -124,6 +124,16 @@
 	assert.Equal(t, v, "")
 }
 
+// silentFeed: the feed of c brings nothing although the claim is in the store.
+const silentFeed = `a claims; a is confirmed by a; a is confirmed by b; time passes; c hears nothing from the feed; time passes;
+	a calls the platform to promote endpoint 1; the platform promotes endpoint 1 for version 2`
+
+// Silence of a feed that delivers nothing must not renew a lease.
+func TestSilentFeedIsNoProof(t *testing.T) {
+	v, _ := search{rules: rules{silentFeedIsProof: edgeRules.silentFeedIsProof}, n: 3, users: 3}.play(silentFeed)
+	assert.Equal(t, v, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them.
 func TestPlaysNeedTheirRules(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -136,6 +146,7 @@
 		"keptLease":     {search{rules: rules{renewWhileUnsettled: true, keepLease: true, announceBeforeStore: true, announceConfirmed: true, storeConfirmed: true}, n: 5, users: 5, delays: true}, keptLease},
 		"relayed":       {search{rules: rules{relayTooYoung: true}, n: 4, users: 3}, relayed},
 		"refused":       {search{rules: rules{refusedWhileRunning: true}, n: 2, users: 2}, refused},
+		"silentFeed":    {search{rules: rules{silentFeedIsProof: true}, n: 3, users: 3}, silentFeed},
 	} {
 		v, impossible := c.play(c.script)
 		t.Logf("%s: %s", name, v)
