takeover: a delayed promotion call replaces a later primary (fails)

A promotion call has no condition. One that is held up, and delivered after its holder has given up or stopped, takes effect after a later holder has promoted another endpoint; its users keep their permission, and nothing notices.

--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -134,19 +134,34 @@
 	assert.Equal(t, v, "")
 }
 
+// delayedPromotion: the call of a is held up until b has finished the change with another
+// endpoint.
+const delayedPromotion = `a claims; a is confirmed by a; a is confirmed by b; a is confirmed by c;
+	a calls the platform to promote endpoint 1; time passes; time passes; time passes; time passes;
+	b claims; b is confirmed by a; b is confirmed by b; b is confirmed by c;
+	b calls the platform to promote endpoint 2; the platform promotes endpoint 2 for version 3; b stores the new primary;
+	b reads the store; the platform promotes endpoint 1 for version 2`
+
+// A promotion call must not take effect after its holder has given up.
+func TestDelayedPromotionReplacesNoLaterPrimary(t *testing.T) {
+	v, _ := search{rules: rules{promoteOutlivesHolder: edgeRules.promoteOutlivesHolder}, n: 3, users: 3}.play(delayedPromotion)
+	assert.Equal(t, v, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them.
 func TestPlaysNeedTheirRules(t *testing.T) {
 	for name, c := range map[string]struct {
 		search
 		script string
 	}{
-		"lateUnsettled": {search{rules: rules{renewWhileUnsettled: true}, n: 3, users: 3}, lateUnsettled},
-		"lateSettled":   {search{rules: rules{groupLease: true, storeConfirmed: true}, n: 3, users: 3}, lateSettled},
-		"divided":       {search{rules: rules{announceBeforeStore: true, announceConfirmed: true}, n: 5, users: 5}, divided},
-		"keptLease":     {search{rules: rules{renewWhileUnsettled: true, keepLease: true, announceBeforeStore: true, announceConfirmed: true, storeConfirmed: true}, n: 5, users: 5, delays: true}, keptLease},
-		"relayed":       {search{rules: rules{relayTooYoung: true}, n: 4, users: 3}, relayed},
-		"refused":       {search{rules: rules{refusedWhileRunning: true}, n: 2, users: 2}, refused},
-		"silentFeed":    {search{rules: rules{silentFeedIsProof: true}, n: 3, users: 3}, silentFeed},
+		"lateUnsettled":    {search{rules: rules{renewWhileUnsettled: true}, n: 3, users: 3}, lateUnsettled},
+		"lateSettled":      {search{rules: rules{groupLease: true, storeConfirmed: true}, n: 3, users: 3}, lateSettled},
+		"divided":          {search{rules: rules{announceBeforeStore: true, announceConfirmed: true}, n: 5, users: 5}, divided},
+		"keptLease":        {search{rules: rules{renewWhileUnsettled: true, keepLease: true, announceBeforeStore: true, announceConfirmed: true, storeConfirmed: true}, n: 5, users: 5, delays: true}, keptLease},
+		"relayed":          {search{rules: rules{relayTooYoung: true}, n: 4, users: 3}, relayed},
+		"refused":          {search{rules: rules{refusedWhileRunning: true}, n: 2, users: 2}, refused},
+		"silentFeed":       {search{rules: rules{silentFeedIsProof: true}, n: 3, users: 3}, silentFeed},
+		"delayedPromotion": {search{rules: rules{promoteOutlivesHolder: true}, n: 3, users: 3}, delayedPromotion},
 	} {
 		v, impossible := c.play(c.script)
 		t.Logf("%s: %s", name, v)
