takeover: an earlier refusal makes a holder seem stopped (fails)

HolderStopped rests on the last refusal of the holder's address, which may be from before its claim. Another instance then takes the change over at once, and both promote.

--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -148,6 +148,20 @@
 	assert.Equal(t, v, "")
 }
 
+// twoHolders: d, which is no user, was restarted before its claim, and a has not reached
+// it since.
+const twoHolders = `d claims; d is confirmed by a; d is confirmed by b; d is confirmed by c; d calls the platform to promote endpoint 1;
+	a claims; a is confirmed by a; a is confirmed by b; a is confirmed by c;
+	a calls the platform to promote endpoint 2; the platform promotes endpoint 2 for version 3; a stores the new primary;
+	the platform promotes endpoint 1 for version 2`
+
+// A refusal from before a claim must not show that its holder has stopped, since two
+// holders would promote at once.
+func TestEarlierRefusalDoesNotShowHolderStopped(t *testing.T) {
+	v, _ := search{rules: rules{staleStopEvidence: edgeRules.staleStopEvidence}, n: 4, users: 3}.play(twoHolders)
+	assert.Equal(t, v, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them.
 func TestPlaysNeedTheirRules(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -162,6 +176,7 @@
 		"refused":          {search{rules: rules{refusedWhileRunning: true}, n: 2, users: 2}, refused},
 		"silentFeed":       {search{rules: rules{silentFeedIsProof: true}, n: 3, users: 3}, silentFeed},
 		"delayedPromotion": {search{rules: rules{promoteOutlivesHolder: true}, n: 3, users: 3}, delayedPromotion},
+		"twoHolders":       {search{rules: rules{staleStopEvidence: true}, n: 4, users: 3}, twoHolders},
 	} {
 		v, impossible := c.play(c.script)
 		t.Logf("%s: %s", name, v)
