takeover: a promotion whose holder stopped cannot be finished (fails)

A holder that stops after its promotion has taken effect leaves an endpoint that leads a newer term. The successor counts that term among those known before, so the endpoint never has taken over for it, and the group has no primary while no other replica answers. With another replica, the successor promotes that one, and loses commits that callers have acknowledged meanwhile under the announced record.

TestPromotionOfStoppedHolderIsFinished and TestSuccessorKeepsEndpointThatHasTakenOver fail on Choose, HighestTerm and HasTakenOver as they are.

--- /dev/null
+++ b/core/takeover/finish_test.go
@@ -0,0 +1,30 @@
+package takeover
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
+)
+
+// The platform answers a second call for the endpoint that leads already with success and changes nothing.
+func TestPromotionOfStoppedHolderIsFinished(t *testing.T) {
+	const formerTerm, newTerm = fleet.Term(1), fleet.Term(2)
+	promoted := stmt.EndpointState{Primary: true, Term: newTerm}
+	candidates := []Candidate{{Endpoint: "promoted", Received: fleet.LogPosition{Term: newTerm, Position: 10}, Term: newTerm, Suspect: promoted.Primary}}
+	best, ok := Choose(candidates)
+	assert.Assert(t, ok)
+	assert.Equal(t, best.Endpoint, fleet.EndpointID("promoted"))
+	assert.Assert(t, HasTakenOver(promoted, HighestTerm(formerTerm, candidates)), "the change can never be finished while no other replica answers")
+}
+
+// Callers have acknowledged commits at an endpoint whose takeover was announced but not stored.
+func TestSuccessorKeepsEndpointThatHasTakenOver(t *testing.T) {
+	best, _ := Choose([]Candidate{
+		{Endpoint: "promoted", Received: fleet.LogPosition{Term: 2, Position: 12}, Term: 2, Suspect: true},
+		{Endpoint: "replica", Received: fleet.LogPosition{Term: 1, Position: 9}, Term: 1},
+	})
+	assert.Equal(t, best.Endpoint, fleet.EndpointID("promoted"))
+}
