takeover: a read is served by a primary that has lost its log (fails)

Reads at the primary carry no required position and their answers are not checked. A primary that comes back under its id with an empty log, while the store is down or before it counts as failing, serves single reads without the commits that were acknowledged; so does a primary that was replaced by a delayed promotion call.

TestReadAtPrimaryThatLostItsLogIsNotUsed fails: a read at endpoint 0, whose log ends at {0 0}, lacks commit 2. It passes if answers below the term of the endpoint's takeover or below the newest reported position are not used; the position alone is not enough, since an instance may know none.

--- a/core/takeover/logs_test.go
+++ b/core/takeover/logs_test.go
@@ -225,3 +225,14 @@
 		assert.Assert(t, v != "", "mutation not detected: %s", name)
 	}
 }
+
+// edgeUsesAnyAnswer is set while edge/executor uses the answer of a primary whose log ends
+// before the term of the record, or before a position that it has reported. It is removed
+// together with the fix.
+const edgeUsesAnyAnswer = true
+
+// A primary that has lost its log and comes back under its id must not serve reads.
+func TestReadAtPrimaryThatLostItsLogIsNotUsed(t *testing.T) {
+	v, _ := runLogs(2_000, func(m *logModel) { m.rebornPrimary, m.useAnyAnswer = true, edgeUsesAnyAnswer })
+	assert.Equal(t, v, "")
+}
