--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -46,8 +46,7 @@
 const lateUnsettled = `a claims; a is confirmed by a; a is confirmed by b; time passes; time passes;
 	a calls the platform to promote endpoint 1; the platform promotes endpoint 1 for version 2; c reads the store`
 
-// A claim that is learned late must not renew the lease under which open transactions
-// continue at the former primary.
+// Otherwise open transactions would continue at the former primary.
 func TestClaimLearnedLateRenewsNoLease(t *testing.T) {
 	v, _ := search{rules: rules{renewWhileUnsettled: edgeRules.renewWhileUnsettled}, n: 3, users: 3}.play(lateUnsettled)
 	assert.Equal(t, v, "")
@@ -79,8 +78,7 @@
 	time passes; b is answered by c; c is answered by b;
 	d calls the platform to promote endpoint 2; the platform promotes endpoint 2 for version 3`
 
-// The users of an announced record must not be fewer than those of the stored one, since
-// majorities of the two need not have a member in common.
+// Otherwise a majority of one list may extend leases while one of the other changes the primary.
 func TestMajoritiesOfAnnouncedAndStoredUsersIntersect(t *testing.T) {
 	v, _ := search{rules: rules{announceBeforeStore: edgeRules.announceBeforeStore, announceConfirmed: edgeRules.announceConfirmed, storeConfirmed: edgeRules.storeConfirmed}, n: 5, users: 5}.play(divided)
 	assert.Equal(t, v, "")
@@ -155,8 +153,7 @@
 	a calls the platform to promote endpoint 2; the platform promotes endpoint 2 for version 3; a stores the new primary;
 	the platform promotes endpoint 1 for version 2`
 
-// A refusal from before a claim must not show that its holder has stopped, since two
-// holders would promote at once.
+// Otherwise two holders would promote at once.
 func TestEarlierRefusalDoesNotShowHolderStopped(t *testing.T) {
 	v, _ := search{rules: rules{staleStopEvidence: edgeRules.staleStopEvidence}, n: 4, users: 3}.play(twoHolders)
 	assert.Equal(t, v, "")
