--- a/core/takeover/search_test.go
+++ b/core/takeover/search_test.go
@@ -115,7 +115,6 @@
 	confirmAge [maxInstances]int8
 	candidate  int8
 	promoted   bool
-	settledAs  searchRecord
 }
 
 // promotion is a call to the platform that has not taken effect.
