lease: a permission belongs to one primary and to its present users

What callers may see: a write or a read of an open transaction at the former primary after another has taken over, acknowledged.

Cause: the permission was one time per group that only grew. (1) A proof that came together with the claim of a planned change renewed it, and the 0.3 s for open transactions began then; a user that was cut off and learned the claim late went on after the change had taken effect. (2) A connection to the former primary was covered by the permission for the new one until DrainPrimary had run. (3) What one list of users had extended stayed after the list had changed.

Fix: lease.Permission names the records that it covers and is computed anew with each record; a change in progress renews nothing. It is checked with the record under which a connection was acquired.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -31,6 +31,7 @@
 	"slices"
 	"time"
 
+	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 )
 
@@ -112,3 +113,32 @@
 
 // Majority returns the smallest number that is more than half of n.
 func Majority(n int) int { return n/2 + 1 }
+
+// Permission is the right of an instance to send to the primary of one group.
+type Permission struct {
+	// Expiry is when the right ends; 0 if there is none.
+	Expiry time.Duration
+	// From and To are the versions of the first and the last record of that primary which
+	// the right covers. Connections that were acquired under another record are not covered.
+	From, To uint64
+}
+
+// Covers reports whether the permission covers a connection acquired under the record of a
+// version, at time now.
+func (p Permission) Covers(version uint64, now time.Duration) bool {
+	return now < p.Expiry && version >= p.From && version <= p.To
+}
+
+// Permission returns the permission of an instance under a record of its group's primary,
+// whose primary has not changed since the record of version changed. before is the
+// permission under the record before. A change that goes on renews nothing: open
+// transactions may use what is left of before.
+func (l *Lease) Permission(before Permission, self fleet.InstanceID, record catalog.Leadership, changed uint64) Permission {
+	switch {
+	case !record.MayUse(self):
+		return Permission{}
+	case !record.Settled:
+		return before
+	}
+	return Permission{Expiry: l.Expiry(self, record.Users, record.Removed), From: changed, To: record.Version}
+}
--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -10,7 +10,6 @@
 // edgeRules are the deviations from the safe rules in edge/control and edge/app. One is
 // removed here together with its fix.
 var edgeRules = rules{
-	renewWhileUnsettled: true, keepLease: true, groupLease: true,
 	announceBeforeStore: true, announceConfirmed: true, storeConfirmed: true,
 	relayTooYoung: true, silentFeedIsProof: true, promoteOutlivesHolder: true,
 }
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -113,8 +113,8 @@
 	// changed is closed when there is news for the instances that follow this one.
 	changed chan struct{}
 	lease   *lease.Lease
-	// leases holds when the lease on each group's primary expires.
-	leases map[fleet.GroupID]time.Duration
+	// permissions holds what permits the use of each group's primary.
+	permissions map[fleet.GroupID]lease.Permission
 	// keeperOrder caches the order of package placement for each group; nil if it has
 	// to be computed again. groupDataCentres holds the data centres in which an
 	// endpoint of the group has been listed.
@@ -192,7 +192,7 @@
 		listed: map[fleet.EndpointID]catalog.Endpoint{}, unlisted: map[fleet.EndpointID]time.Duration{},
 		lastEntries: map[fleet.EndpointID]catalog.Endpoint{}, groups: map[fleet.GroupID]*group{},
 		members: map[fleet.InstanceID]catalog.Member{}, peers: map[fleet.InstanceID]*peer{}, lease: lease.New(),
-		leases: map[fleet.GroupID]time.Duration{}, groupDataCentres: map[fleet.GroupID]map[fleet.DataCentre]bool{},
+		permissions: map[fleet.GroupID]lease.Permission{}, groupDataCentres: map[fleet.GroupID]map[fleet.DataCentre]bool{},
 		memberRows: map[string]memberRow{}, presence: relay.NewPresence(), changed: make(chan struct{}),
 	}
 	for _, name := range []string{c.Schema.OperatorTable, c.Schema.EndpointTable, c.Schema.FleetTable} {
@@ -319,9 +319,8 @@
 		"primary", string(l.Primary), "former", string(l.Former), "settled", l.Settled, "holder", string(l.Holder))
 	c.Metrics.Count("leader_records")
 	c.signalChange()
+	c.renewLease()
 	if old.Primary == l.Primary && l.Settled {
-		// This instance may have been removed as a user.
-		c.renewLease()
 		c.markConfirmed(g, l.Version)
 		return true
 	}
@@ -411,26 +410,24 @@
 	}
 }
 
-// renewLease passes the expiry of the leases on to the pool. An instance that is not
-// registered as a user of a primary is not asked to confirm a change of it, so it gets
-// no lease.
+// renewLease passes the permissions to use primaries on to the pool. An instance that is
+// not registered as a user of a primary is not asked to confirm a change of it, so it gets
+// none.
 func (c *Controller) renewLease() {
 	renewed := false
 	for id, g := range c.groups {
-		if !g.record.MayUse(c.Self.ID) || c.deregistered {
-			if _, had := c.leases[id]; had {
-				delete(c.leases, id)
-				renewed = true
-			}
-			continue
+		before := c.permissions[id]
+		next := c.lease.Permission(before, c.Self.ID, g.record, g.changedVersion)
+		if c.deregistered {
+			next = lease.Permission{}
 		}
-		if at := c.lease.Expiry(c.Self.ID, g.record.Users, g.record.Removed); at > c.leases[id] {
-			c.leases[id] = at
+		if next != before {
+			c.permissions[id] = next
 			renewed = true
 		}
 	}
 	if renewed {
-		c.Pool.SetLeases(maps.Clone(c.leases))
+		c.Pool.SetPermissions(maps.Clone(c.permissions))
 	}
 }
 
--- /dev/null
+++ b/edge/control/permission_test.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+)
+
+// Guards against a user that learns of a planned change together with a new proof and goes on
+// at the former primary after the change has taken effect.
+func TestProofThatComesWithAClaimRenewsNothing(t *testing.T) {
+	c := startController(t, 0)
+	assert.NilError(t, c.runInLoop(context.Background(), func() {
+		c.addProof(c.Clock.Now())
+		before := c.permissions["bookings"]
+		assert.Assert(t, before.Expiry > 0)
+		c.adoptLeadership(catalog.Leadership{Group: "bookings", Version: 2, Term: 2, Former: "e1", Holder: "peer-0", Planned: true,
+			Users: []fleet.InstanceID{"self"}})
+		c.addProof(c.Clock.Now())
+		assert.Equal(t, c.permissions["bookings"], before)
+		c.adoptLeadership(catalog.Leadership{Group: "bookings", Version: 3, Term: 2, Primary: "e2", Former: "e1", Settled: true,
+			Users: []fleet.InstanceID{"self"}})
+		assert.Assert(t, !c.permissions["bookings"].Covers(1, c.Clock.Now()), "a connection to the former primary")
+		assert.Assert(t, c.permissions["bookings"].Covers(3, c.Clock.Now()))
+	}))
+}
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -16,6 +16,7 @@
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/dispatch"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/lease"
 	"github.com/vanillahinge/vanillahinge/core/staleread"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/edge/clock"
@@ -217,8 +218,8 @@
 	log     *telemetry.Log
 	metrics *telemetry.Metrics
 	local   fleet.DataCentre
-	// leases holds when the lease on each group's primary expires.
-	leases atomic.Pointer[map[fleet.GroupID]time.Duration]
+	// permissions holds what permits the use of each group's primary.
+	permissions atomic.Pointer[map[fleet.GroupID]lease.Permission]
 	// onNoLease is called when a statement needs a primary without a lease.
 	onNoLease func(fleet.GroupID)
 
@@ -237,9 +238,9 @@
 		endpoints: map[fleet.EndpointID]*endpointState{}, groups: map[fleet.GroupID]*group{}, inFlight: map[fleet.AccountID]int{}}
 }
 
-// SetLeases sets, by group, when the lease expires that permits the use of its primary.
-func (p *Pool) SetLeases(expiry map[fleet.GroupID]time.Duration) {
-	p.leases.Store(&expiry)
+// SetPermissions sets, by group, what permits the use of its primary.
+func (p *Pool) SetPermissions(permissions map[fleet.GroupID]lease.Permission) {
+	p.permissions.Store(&permissions)
 	p.mu.Lock()
 	p.serveWaiters()
 	p.mu.Unlock()
@@ -273,18 +274,25 @@
 // the primary of a group for which there is no lease. Call it before the pool is used.
 func (p *Pool) OnNoLease(f func(fleet.GroupID)) { p.onNoLease = f }
 
-// LeaseValid reports whether a lease permits the use of a group's primary now.
-func (p *Pool) LeaseValid(id fleet.GroupID) bool { return p.leaseValidAt(id, p.clock.Now()) }
+// LeaseValid reports whether the use of a group's primary is permitted now.
+func (p *Pool) LeaseValid(id fleet.GroupID) bool {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.permitted(id, p.view.Leaders[id].Version, now)
+}
 
-func (p *Pool) leaseValidAt(id fleet.GroupID, now time.Duration) bool {
-	leases := p.leases.Load()
-	return leases != nil && now < (*leases)[id]
+// permitted reports whether the use of the primary that the record of a version names is
+// permitted at time now.
+func (p *Pool) permitted(id fleet.GroupID, version uint64, now time.Duration) bool {
+	permissions := p.permissions.Load()
+	return permissions != nil && (*permissions)[id].Covers(version, now)
 }
 
 // MaySend reports whether a statement may be sent on a connection now. Call it
 // immediately before each send.
 func (p *Pool) MaySend(c *Conn) bool {
-	return !c.Primary || !c.revoked.Load() && p.leaseValidAt(c.catalogEntry.Group, p.clock.Now())
+	return !c.Primary || !c.revoked.Load() && p.permitted(c.catalogEntry.Group, c.recordVersion, p.clock.Now())
 }
 
 // Revoked reports whether DrainPrimary has ended the use of the connection
@@ -430,7 +438,7 @@
 // usablePrimary returns the id of a group's primary and whether it may be used.
 func (p *Pool) usablePrimary(id fleet.GroupID, now time.Duration) (fleet.EndpointID, bool) {
 	l, ok := p.view.Leaders[id]
-	return l.Primary, ok && l.Settled && l.Primary != "" && p.leaseValidAt(id, now)
+	return l.Primary, ok && l.Settled && l.Primary != "" && p.permitted(id, l.Version, now)
 }
 
 // chooseEndpoint returns the endpoint with the lowest expected latency for a
--- a/edge/pool/queue.go
+++ b/edge/pool/queue.go
@@ -82,7 +82,7 @@
 	switch {
 	case !l.Settled:
 		deadline = p.group(r.Group).unsettledAt + primaryChangeTimeout
-	case !p.leaseValidAt(r.Group, now):
+	case !p.permitted(r.Group, l.Version, now):
 		deadline = now + leaseWait
 		if p.onNoLease != nil {
 			p.onNoLease(r.Group)
