peerrpc: the ages in a response are of the time for which the call was held

What callers may see: a user of a primary goes on after a change has taken effect.

Cause: a Watch response took the age of its proof and the time for which the call was held at two moments. A relay that was suspended in between made the proof younger by the suspension; with 0.35 s or more the permission of an instance behind it outlives the wait of a change, and the sender itself was never suspended.

Fix: both are of one moment.

--- a/edge/control/permission_test.go
+++ b/edge/control/permission_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
 )
 
 // Guards against a user that learns of a planned change together with a new proof and goes on
@@ -28,3 +30,16 @@
 		assert.Assert(t, c.permissions["bookings"].Covers(3, c.Clock.Now()))
 	}))
 }
+
+// Guards against a relayed proof that is younger than it is by a suspension of the relay
+// between the reading of its age and the response.
+func TestAgeOfRelayedProofIsOfTheTimeHeld(t *testing.T) {
+	c := startController(t, 0)
+	assert.NilError(t, c.runInLoop(context.Background(), func() {
+		now := c.Clock.Now()
+		c.addProof(now)
+		res, _ := c.newsFor(now+time.Second, 400*time.Millisecond, &peerrpc.WatchRequest{})
+		assert.Equal(t, res.HeldMS, int64(400))
+		assert.Equal(t, res.ProofAgeMS, int64(1001))
+	}))
+}
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -434,7 +434,6 @@
 			rest -= hold - min(hold, patientHold)
 		}
 		if news == urgent || rest <= 0 {
-			res.HeldMS = (c.Clock.Now() - received).Milliseconds()
 			return res, nil
 		}
 		timer := time.NewTimer(rest)
@@ -490,7 +489,8 @@
 
 // newsFor returns what an instance lacks that called held ago, and when to tell it.
 func (c *Controller) newsFor(now, held time.Duration, req *peerrpc.WatchRequest) (*peerrpc.WatchResponse, urgency) {
-	res := &peerrpc.WatchResponse{ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving()}
+	// The ages below are of the same moment as HeldMS.
+	res := &peerrpc.WatchResponse{HeldMS: held.Milliseconds(), ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving()}
 	news := noNews
 	if at, ok := c.lease.Proof(); ok {
 		// Rounded up, so that the caller never takes the proof for younger than it is.
--- a/edge/peerrpc/peerrpc.go
+++ b/edge/peerrpc/peerrpc.go
@@ -63,7 +63,8 @@
 
 // WatchResponse returns the state that the caller lacks.
 type WatchResponse struct {
-	// HeldMS is for how long the call was held, in milliseconds, rounded down.
+	// HeldMS is for how long the call had been held when the ages in this response were
+	// taken, in milliseconds, rounded down.
 	HeldMS int64 `json:"h"`
 	// Tables are the changes of tables by name.
 	Tables map[string]TableChange `json:"t,omitempty"`
