control: the settled record keeps the users of its claim

What callers may see: writes acknowledged by two primaries, for up to 30 s.

Cause: the holder announces the settled record with only the users that have confirmed, before the store has it. If it never gets there, the stored claim still has all of them, and a later change may find its majority among users that the announced list lacks: of five users a, b, c have confirmed; a and b prove to each other that they know of no change while c, d and e carry one out.

Fix: users that have not confirmed stay in the list, as about to be removed, and go by the usual two steps or register again.

--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -10,7 +10,7 @@
 // edgeRules are the deviations from the safe rules in edge/control and edge/app. One is
 // removed here together with its fix.
 var edgeRules = rules{
-	announceBeforeStore: true, announceConfirmed: true, storeConfirmed: true,
+	announceBeforeStore: true,
 	silentFeedIsProof: true, promoteOutlivesHolder: true,
 }
 
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -215,11 +215,18 @@
 	}
 	ch.ctl.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group), "users", len(ch.record.Users),
 		"confirmed", len(confirmed), "after_ms", (ch.ctl.Clock.Now() - ch.claimedAt).Milliseconds())
-	// A user that has not confirmed registers again when it answers.
-	ch.record.Users, ch.record.Removed = confirmed, nil
+	ch.record.Removed = unconfirmed(ch.record.Users, confirmed)
 	return true
 }
 
+// unconfirmed returns the users that have not confirmed a change. The settled record names
+// them as about to be removed, and they register again when they answer. They stay in the
+// list: the holder announces the record before the store has it, and until then another
+// instance may carry out a change among the users of the claim.
+func unconfirmed(users, confirmed []fleet.InstanceID) []fleet.InstanceID {
+	return slices.DeleteFunc(slices.Clone(users), func(u fleet.InstanceID) bool { return slices.Contains(confirmed, u) })
+}
+
 // awaitConfirmations waits until every user acts on the record or has no permission any
 // more, see takeover.EffectiveAt, and returns those that do.
 func (ch *primaryChange) awaitConfirmations(ctx context.Context) (confirmed []fleet.InstanceID, ok bool) {
