platform: a promotion call ends with its holder

What callers may see: writes acknowledged at a primary after the platform has promoted another one, and a fencing token below one that had been seen.

Cause: POST /promote has no condition. The claim was checked before the call was dialled, so a holder that was suspended in between sent it late; a call begun at 4.49 s lasted up to 5.69 s, longer than the 5.5 s after which another instance takes over; and a call that was given up, or whose process was killed, was closed in order, so the network delivered what it had held up.

--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -203,7 +203,12 @@
 	if ch.ctl.runInLoop(ctx, func() { current = ch.ctl.leadership(ch.old.Group) }) != nil {
 		return false
 	}
-	return current.Version == ch.record.Version && ch.ctl.Clock.Now() < ch.claimedAt+takeover.HolderTimeout
+	return current.Version == ch.record.Version && ch.timeLeft() > 0
+}
+
+// timeLeft returns for how long this instance may still act on its claim.
+func (ch *primaryChange) timeLeft() time.Duration {
+	return ch.claimedAt + takeover.HolderTimeout - ch.ctl.Clock.Now()
 }
 
 // awaitOldPrimaryUnused waits until no instance sends statements to the old primary.
@@ -350,8 +355,8 @@
 	previousTerm := takeover.HighestTerm(c.Pool.Term(ch.old.Group), candidates)
 	for len(candidates) > 0 && ch.claimValid(ctx) {
 		best, _ := takeover.Choose(candidates)
-		call, cancel := context.WithTimeout(ctx, promoteTimeout)
-		err := c.Promoter.Promote(call, ch.old.Group, best.Endpoint, ch.record.Version)
+		call, cancel := context.WithTimeout(ctx, min(promoteTimeout, ch.timeLeft()))
+		err := c.Promoter.Promote(call, ch.old.Group, best.Endpoint, ch.record.Version, func() bool { return ch.timeLeft() > 0 })
 		cancel()
 		c.Metrics.Count("promotions")
 		c.Log.Info("control: promotion requested", "group", string(ch.old.Group), "endpoint", string(best.Endpoint),
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -43,7 +43,8 @@
 
 // Promoter asks the platform to promote an endpoint.
 type Promoter interface {
-	Promote(ctx context.Context, group fleet.GroupID, id fleet.EndpointID, fence uint64) error
+	// Promote calls the platform. mayCall is asked immediately before the call is sent.
+	Promote(ctx context.Context, group fleet.GroupID, id fleet.EndpointID, fence uint64, mayCall func() bool) error
 	// IsRefusal reports whether an error of Promote means that the endpoint
 	// cannot be promoted.
 	IsRefusal(err error) bool
