takeover: a promotion whose holder stopped is finished by the next one

What callers may see: no primary until another replica is back, or the loss of commits that they were told of under an announced record.

Cause: the next holder took the term of the endpoint that had already taken over for the term before the change, so that endpoint could never count as the new primary; as one that "still reports itself as primary" it was suspect, and any other replica was promoted instead.

Fix: the record holds the term with which the last primary took over. An endpoint, other than the former primary, that leads a later term has been promoted by this change and is kept. TestFormerPrimaryHasNotTakenOver guards the other side as before, with the term from the record in place of that from another candidate. Evidence: TestPromotionOfStoppedHolderIsFinished and TestSuccessorKeepsEndpointThatHasTakenOver failed before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -120,6 +120,9 @@
 	Version uint64
 	Term    fleet.Term
 	Primary fleet.EndpointID
+	// PrimaryTerm is the log term with which the last primary took over, 0 if there has
+	// been no change. Any endpoint but Former that leads a later one was promoted since.
+	PrimaryTerm fleet.Term `json:",omitempty"`
 	// Former is the primary before Primary.
 	Former fleet.EndpointID
 	// Holder is the instance that carries out the change.
@@ -146,7 +149,7 @@
 
 // Equal reports whether two records are the same.
 func (l Leadership) Equal(o Leadership) bool {
-	return slices.Equal(l.Users, o.Users) && slices.Equal(l.Removed, o.Removed) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary &&
+	return slices.Equal(l.Users, o.Users) && slices.Equal(l.Removed, o.Removed) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary && l.PrimaryTerm == o.PrimaryTerm &&
 		l.Former == o.Former && l.Holder == o.Holder && l.Settled == o.Settled && l.Planned == o.Planned
 }
 
--- a/core/takeover/finish_test.go
+++ b/core/takeover/finish_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
 )
@@ -13,17 +14,20 @@
 func TestPromotionOfStoppedHolderIsFinished(t *testing.T) {
 	const formerTerm, newTerm = fleet.Term(1), fleet.Term(2)
 	promoted := stmt.EndpointState{Primary: true, Term: newTerm}
-	candidates := []Candidate{{Endpoint: "promoted", Received: fleet.LogPosition{Term: newTerm, Position: 10}, Term: newTerm, Suspect: promoted.Primary}}
+	candidates := []Candidate{{Endpoint: "promoted", Received: fleet.LogPosition{Term: newTerm, Position: 10}, Term: newTerm,
+		TakenOver: HasTakenOver(promoted, FormerTerm(catalog.Leadership{PrimaryTerm: formerTerm}, 0)), Suspect: promoted.Primary}}
 	best, ok := Choose(candidates)
 	assert.Assert(t, ok)
 	assert.Equal(t, best.Endpoint, fleet.EndpointID("promoted"))
-	assert.Assert(t, HasTakenOver(promoted, HighestTerm(formerTerm, candidates)), "the change can never be finished while no other replica answers")
+	assert.Assert(t, best.TakenOver, "the change can never be finished while no other replica answers")
+	// Before the first change the term is that which the primary has reported.
+	assert.Assert(t, HasTakenOver(promoted, FormerTerm(catalog.Leadership{}, formerTerm)))
 }
 
 // Callers have acknowledged commits at an endpoint whose takeover was announced but not stored.
 func TestSuccessorKeepsEndpointThatHasTakenOver(t *testing.T) {
 	best, _ := Choose([]Candidate{
-		{Endpoint: "promoted", Received: fleet.LogPosition{Term: 2, Position: 12}, Term: 2, Suspect: true},
+		{Endpoint: "promoted", Received: fleet.LogPosition{Term: 2, Position: 12}, Term: 2, TakenOver: true, Suspect: true},
 		{Endpoint: "replica", Received: fleet.LogPosition{Term: 1, Position: 9}, Term: 1},
 	})
 	assert.Equal(t, best.Endpoint, fleet.EndpointID("promoted"))
--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -11,7 +11,7 @@
 // removed here together with its fix.
 var edgeRules = rules{
 	announceBeforeStore: true,
-	silentFeedIsProof: true,
+	silentFeedIsProof:   true,
 }
 
 // play performs actions, in the words of describeAction, separated by semicolons. It
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -80,6 +80,8 @@
 	// Term is the highest term that the endpoint knows.
 	Term    fleet.Term
 	Leaving bool
+	// TakenOver marks an endpoint that an earlier holder of this change has promoted.
+	TakenOver bool
 	// Suspect marks an endpoint that was the primary before the last one, or that still
 	// reports itself as primary. It may be cut off from most instances.
 	Suspect bool
@@ -88,8 +90,9 @@
 	SameDataCentre bool
 }
 
-// Choose returns the candidate to promote: the one with the highest log position, so
-// that as few commits as possible are lost. A leaving or suspect endpoint is chosen
+// Choose returns the candidate to promote: one that has taken over already, since callers
+// may have commits there, or the one with the highest log position, so that as few commits
+// as possible are lost. A leaving or suspect endpoint is chosen
 // only if there is no other. Choose returns false if there are no candidates.
 func Choose(candidates []Candidate) (Candidate, bool) {
 	if len(candidates) == 0 {
@@ -97,6 +100,7 @@
 	}
 	return slices.MaxFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(
+			compareBool(a.TakenOver, b.TakenOver),
 			compareBool(!a.Leaving, !b.Leaving),
 			compareBool(!a.Suspect, !b.Suspect),
 			cmp.Compare(a.Received.Term, b.Received.Term),
@@ -112,12 +116,13 @@
 // off may still report itself as primary at its old term.
 func HasTakenOver(s stmt.EndpointState, before fleet.Term) bool { return s.Primary && s.Term > before }
 
-// HighestTerm returns the highest of known and the terms that the candidates know.
-func HighestTerm(known fleet.Term, candidates []Candidate) fleet.Term {
-	for _, c := range candidates {
-		known = max(known, c.Term)
+// FormerTerm returns the term before a change: that with which the last primary took over,
+// or, if there has been no change, the newest one that the primary has reported.
+func FormerTerm(record catalog.Leadership, reported fleet.Term) fleet.Term {
+	if record.PrimaryTerm > 0 {
+		return record.PrimaryTerm
 	}
-	return known
+	return reported
 }
 
 func compareBool(a, b bool) int {
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -16,7 +16,7 @@
 // If that were taken for the result of a promotion, the writes that it then commits
 // would be lost (found in run hunt-cf85-47).
 func TestFormerPrimaryHasNotTakenOver(t *testing.T) {
-	before := HighestTerm(1, []Candidate{{Endpoint: "former", Term: 1}, {Endpoint: "other", Term: 2}})
+	before := FormerTerm(catalog.Leadership{PrimaryTerm: 2}, 1)
 	assert.Equal(t, before, fleet.Term(2))
 	assert.Assert(t, !HasTakenOver(stmt.EndpointState{Primary: true, Term: 1}, before))
 	assert.Assert(t, !HasTakenOver(stmt.EndpointState{Primary: true, Term: 2}, before))
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -142,7 +142,7 @@
 	c, old := ch.ctl, ch.old
 	l := catalog.Leadership{
 		Group: old.Group, Version: old.Version, Term: max(old.Term, c.Pool.Term(old.Group)) + 1, Former: old.Primary,
-		Holder: c.Self.ID, Planned: ch.cause == takeover.Leaving || ch.cause == takeover.Gone, Users: old.Users, Removed: old.Removed,
+		PrimaryTerm: old.PrimaryTerm, Holder: c.Self.ID, Planned: ch.cause == takeover.Leaving || ch.cause == takeover.Gone, Users: old.Users, Removed: old.Removed,
 	}
 	if !old.Settled {
 		// The primary from before the unfinished change may still be in use.
@@ -351,8 +351,8 @@
 		ask = stmt.Statement{Kind: stmt.Pause, Term: ch.record.Term}
 	}
 	formerPosition := ch.demoteFormer(ctx, former)
-	candidates := ch.collectPositions(ctx, replicas, ask, formerPosition)
-	previousTerm := takeover.HighestTerm(c.Pool.Term(ch.old.Group), candidates)
+	previousTerm := takeover.FormerTerm(ch.record, c.Pool.Term(ch.old.Group))
+	candidates := ch.collectPositions(ctx, replicas, ask, formerPosition, previousTerm)
 	for len(candidates) > 0 && ch.claimValid(ctx) {
 		best, _ := takeover.Choose(candidates)
 		call, cancel := context.WithTimeout(ctx, min(promoteTimeout, ch.timeLeft()))
@@ -364,8 +364,8 @@
 			"former_had", uint64(formerPosition.Position), "error", errorText(err))
 		switch {
 		case err == nil:
-			if ch.awaitTakeover(ctx, replicas, best.Endpoint, previousTerm) {
-				ch.record.Primary, ch.record.Settled = best.Endpoint, true
+			if term, ok := ch.awaitTakeover(ctx, replicas, best.Endpoint, previousTerm); ok {
+				ch.record.Primary, ch.record.PrimaryTerm, ch.record.Settled = best.Endpoint, term, true
 				return true
 			}
 		case c.Promoter.IsRefusal(err):
@@ -430,8 +430,9 @@
 }
 
 // collectPositions asks the replicas for their log positions. It waits until one
-// replica has target, and then up to otherReplicasWait for the rest.
-func (ch *primaryChange) collectPositions(ctx context.Context, replicas []catalog.Endpoint, ask stmt.Statement, target fleet.LogPosition) []takeover.Candidate {
+// replica has target, and then up to otherReplicasWait for the rest. An endpoint that leads a
+// term above previousTerm has taken over.
+func (ch *primaryChange) collectPositions(ctx context.Context, replicas []catalog.Endpoint, ask stmt.Statement, target fleet.LogPosition, previousTerm fleet.Term) []takeover.Candidate {
 	c := ch.ctl
 	var mu sync.Mutex
 	found := map[fleet.EndpointID]takeover.Candidate{}
@@ -444,7 +445,7 @@
 				if err == nil {
 					mu.Lock()
 					found[e.ID] = takeover.Candidate{Endpoint: e.ID, Received: s.Received, Term: max(s.Term, s.Received.Term),
-						Leaving: e.Leaving, Suspect: s.Primary || e.ID == ch.old.Former, SameDataCentre: e.DataCentre == c.Self.DataCentre}
+						TakenOver: takeover.HasTakenOver(s, previousTerm), Leaving: e.Leaving, Suspect: s.Primary || e.ID == ch.old.Former, SameDataCentre: e.DataCentre == c.Self.DataCentre}
 					mu.Unlock()
 					if target.Max(s.Received) == s.Received {
 						return
@@ -485,8 +486,8 @@
 }
 
 // awaitTakeover waits until the promoted endpoint reports that it is the primary
-// at a term above previousTerm.
-func (ch *primaryChange) awaitTakeover(ctx context.Context, replicas []catalog.Endpoint, id fleet.EndpointID, previousTerm fleet.Term) bool {
+// at a term above previousTerm, and returns that term.
+func (ch *primaryChange) awaitTakeover(ctx context.Context, replicas []catalog.Endpoint, id fleet.EndpointID, previousTerm fleet.Term) (fleet.Term, bool) {
 	c := ch.ctl
 	i := slices.IndexFunc(replicas, func(e catalog.Endpoint) bool { return e.ID == id })
 	var w pool.RawConn
@@ -514,14 +515,14 @@
 			if takeover.HasTakenOver(s, previousTerm) {
 				c.Log.Info("control: new primary has taken over", "group", string(ch.old.Group), "endpoint", string(id),
 					"term", uint64(s.Term), "after_ms", (c.Clock.Now() - ch.startedAt).Milliseconds())
-				return true
+				return s.Term, true
 			}
 		}
 		if !sleep(ctx, changePollInterval) {
-			return false
+			return 0, false
 		}
 	}
-	return false
+	return 0, false
 }
 
 // publishSettledRecord announces the new primary to the other instances and stores
