platform: versions of the store are ordered by era first

Cause: Store-Era was not read. A restored store gives its versions out again, but copies of tables, held calls, conditional writes and the fencing token took them for one order for ever; rows at versions up to that of the copy in use were skipped.

A version now holds the era in its upper part (kvstore.Version), set from the header of each response, so that everything that compares versions orders across restores. A feed from another era is answered with ErrCompacted, so the table is read whole; a required version of an earlier era is a conflict; a response of an earlier era than the latest one counts as none.

--- a/core/kvstore/kvstore.go
+++ b/core/kvstore/kvstore.go
@@ -12,10 +12,10 @@
 // Errors of the store.
 var (
 	// ErrConflict means that a row does not have the version that the transaction
-	// requires.
+	// requires, or that the version is from an earlier era.
 	ErrConflict = errors.New("store: row version conflict; read the row again")
 	// ErrCompacted means that the changes after the given version are no longer
-	// kept.
+	// kept, or that the version is from another era.
 	ErrCompacted = errors.New("store: changes after this version have been compacted; read the whole table")
 	// ErrRefused means that the call had no effect. A later call may succeed.
 	ErrRefused = errors.New("store: request refused without effect; try again later")
@@ -23,8 +23,25 @@
 	ErrNoAnswer = errors.New("store: no answer; the call may have taken effect, read the rows back")
 )
 
+// versionBits is the size of the store's counter within a version. Together with
+// 13 bits of the era a version is exact in a 64-bit float, as some receivers of fencing
+// tokens keep them.
+const versionBits = 40
+
+// Version returns the version with the given count in an era of the store. A store that
+// comes back from a copy begins an era: what it acknowledged since the copy is gone, and
+// its counts are given out again. Versions are ordered by era first.
+func Version(era, count uint64) uint64 { return era<<versionBits | count }
+
+// Era returns the era of a version.
+func Era(version uint64) uint64 { return version >> versionBits }
+
+// Count returns the store's count in a version.
+func Count(version uint64) uint64 { return version & (1<<versionBits - 1) }
+
 // Row is a row of a table. Versions come from a single counter for the whole
-// store, so that of two changes the later one has the higher version.
+// store, so that of two changes the later one has the higher version. The version of a
+// row names the era in which it was read, not the one in which it was written.
 type Row struct {
 	Table   string
 	Key     string
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -35,9 +35,13 @@
 // maxDeletedRows bounds the deleted rows that are kept for other instances.
 const maxDeletedRows = 1000
 
-// replaceTable installs a complete copy of a table.
+// replaceTable installs a complete copy of a table, unless it is from an earlier era than
+// the one in use.
 func (c *Controller) replaceTable(name string, all []kvstore.Row, asOf uint64) {
 	t := c.tables[name]
+	if t.loaded && kvstore.Era(asOf) < kvstore.Era(t.asOf) {
+		return
+	}
 	before := t.rows
 	t.rows = make(map[string]kvstore.Row, len(all))
 	for _, r := range all {
