control: records of primaries outlive a restore of the store

When the store came back from a copy from before a change of primary, all instances went back to the former primary, and a read of the restored store renewed the permission to use it. A claim from before went on although its row was gone, and a write that the store applied late could hit a row whose version had been given out again.

Cause: the row's version ordered the records, and a read of the table was a proof that no change is unknown, both of which need a store that loses nothing.

A record now carries a revision and the era in which it was written, and these order it; the row's version serves the conditional write alone. In a new era each instance acts on the newest record that it knows. The first keeper asks the users and the other keepers, and writes the newest record again once a majority has answered that has seen the era. Until then a read of the store proves nothing for the group: the proofs of the earlier era and the majority of the users count, as while the store is down, and nobody changes the primary or its users. A record of an earlier era is not confirmed and a claim of one is void. Each write requires that no row records a later era.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -5,10 +5,12 @@
 package catalog
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/kvstore"
 )
 
 // Consistency is the consistency level of the reads of a route.
@@ -118,8 +120,16 @@
 	// Version is the store's version of the record. It increases with every change
 	// and is the fencing token of the instance that carries out the change.
 	Version uint64
-	Term    fleet.Term
-	Primary fleet.EndpointID
+	// Revision counts the writes of the record, each on top of the newest record that
+	// the writer knew, and Era is the era of the store in which it was written; see
+	// Order.
+	Revision uint64 `json:",omitempty"`
+	Era      uint64 `json:",omitempty"`
+	// RenewedEra is the era in which the record was last written again because the
+	// store had come back from a copy, 0 if never.
+	RenewedEra uint64 `json:",omitempty"`
+	Term       fleet.Term
+	Primary    fleet.EndpointID
 	// Former is the primary before Primary.
 	Former fleet.EndpointID
 	// Holder is the instance that carries out the change.
@@ -144,10 +154,34 @@
 	return user && !removed
 }
 
+// Order returns a number that increases from each record of the group to the next, also
+// if the store lost the former one.
+func (l Leadership) Order() uint64 { return kvstore.Version(l.Era, l.Revision) }
+
+// Compare orders the records of a group: the newer one is greater. Of two with the same
+// order and version the settled one is newer.
+func (l Leadership) Compare(o Leadership) int {
+	settled := 0
+	switch {
+	case l.Settled && !o.Settled:
+		settled = 1
+	case o.Settled && !l.Settled:
+		settled = -1
+	}
+	return cmp.Or(cmp.Compare(l.Order(), o.Order()), cmp.Compare(l.Version, o.Version), settled)
+}
+
+// Next returns the record with the revision of a write in an era of the store.
+func (l Leadership) Next(era uint64) Leadership {
+	l.Revision++
+	l.Era = era
+	return l
+}
+
 // Equal reports whether two records are the same.
 func (l Leadership) Equal(o Leadership) bool {
 	return slices.Equal(l.Users, o.Users) && slices.Equal(l.Removed, o.Removed) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary &&
-		l.Former == o.Former && l.Holder == o.Holder && l.Settled == o.Settled && l.Planned == o.Planned
+		l.Former == o.Former && l.Revision == o.Revision && l.Era == o.Era && l.RenewedEra == o.RenewedEra && l.Holder == o.Holder && l.Settled == o.Settled && l.Planned == o.Planned
 }
 
 // WithUser returns the record with another user, or with one that was about to be
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -84,9 +84,15 @@
 	if !l.hasProof {
 		return 0
 	}
-	proof := l.latestProof
+	return l.ExpirySince(l.latestProof, self, members, removed)
+}
+
+// ExpirySince returns what Expiry would if the latest proof were the given one. It is used
+// while later proofs do not count, because the store may have lost a change.
+func (l *Lease) ExpirySince(latest time.Duration, self fleet.InstanceID, members, removed []fleet.InstanceID) time.Duration {
+	proof := latest
 	if m, ok := l.majorityProof(self, members, removed); ok {
-		proof = max(proof, min(m, l.latestProof+MaxMajorityExtension))
+		proof = max(proof, min(m, latest+MaxMajorityExtension))
 	}
 	return proof + Duration
 }
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -32,6 +32,10 @@
 	// effectMargin covers TransactionGrace and the granularity of timers in the wait
 	// for members that have not confirmed.
 	effectMargin = TransactionGrace + 50*time.Millisecond
+	// RenewalWait is how long after a record was written again in a new era of the store
+	// a change takes effect at the earliest: the store may have lost the registration of a
+	// user, which is not asked to confirm.
+	RenewalWait = lease.Duration + effectMargin
 	// AbandonedAfter is the age from which another instance may take over an unsettled
 	// change. A change takes the time of the promotion (up to 600 ms) plus the wait for
 	// members that have not confirmed (lease.Duration); the holder stops at
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -148,13 +148,15 @@
 		// The primary from before the unfinished change may still be in use.
 		l.Former = old.Former
 	}
+	l.Revision, l.RenewedEra = old.Revision, old.RenewedEra
+	l = l.Next(c.era.Load())
 	row, err := ch.encodeRow(l)
 	if err != nil {
 		c.Log.Warn("control: cannot encode the claim of a change of primary", "error", err.Error())
 		return false
 	}
 	call, cancel := context.WithTimeout(ctx, claimTimeout)
-	version, err := c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+	version, err := c.apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
 	cancel()
 	switch {
 	case err == nil:
@@ -183,7 +185,7 @@
 		if c.runInLoop(ctx, func() { current = c.leadership(ch.old.Group) }) != nil {
 			return 0
 		}
-		if current.Version > ch.old.Version {
+		if current.Order() > ch.old.Order() {
 			if current.Holder == c.Self.ID && !current.Settled {
 				return current.Version
 			}
@@ -197,13 +199,14 @@
 }
 
 // claimValid reports whether this instance may still act on its claim: no newer
-// record exists and takeover.HolderTimeout has not passed.
+// record exists, the store has not come back from a copy since, which may lack the claim,
+// and takeover.HolderTimeout has not passed.
 func (ch *primaryChange) claimValid(ctx context.Context) bool {
 	var current catalog.Leadership
 	if ch.ctl.runInLoop(ctx, func() { current = ch.ctl.leadership(ch.old.Group) }) != nil {
 		return false
 	}
-	return current.Version == ch.record.Version && ch.ctl.Clock.Now() < ch.claimedAt+takeover.HolderTimeout
+	return current.Order() == ch.record.Order() && ch.record.Era == ch.ctl.era.Load() && ch.ctl.Clock.Now() < ch.claimedAt+takeover.HolderTimeout
 }
 
 // awaitOldPrimaryUnused waits until no instance sends statements to the old primary.
@@ -224,6 +227,12 @@
 // more, see takeover.EffectiveAt, and returns those that do.
 func (ch *primaryChange) awaitConfirmations(ctx context.Context) (confirmed []fleet.InstanceID, ok bool) {
 	c, ids := ch.ctl, ch.record.Users
+	renewed := time.Duration(0)
+	if ch.record.RenewedEra > 0 && ch.record.RenewedEra == ch.record.Era {
+		if c.runInLoop(ctx, func() { renewed = c.groupState(ch.record.Group).renewedAt + takeover.RenewalWait }) != nil {
+			return nil, false
+		}
+	}
 	var mu sync.Mutex
 	state := make([]takeover.Confirmation, len(ids))
 	for i, id := range ids {
@@ -237,6 +246,7 @@
 	for {
 		mu.Lock()
 		at, effective := takeover.EffectiveAt(ch.claimedAt, state)
+		at = max(at, renewed)
 		confirmed = confirmed[:0]
 		for _, s := range state {
 			if s.Confirmed {
@@ -261,7 +271,7 @@
 		start := c.Clock.Now()
 		if id == c.Self.ID {
 			res, err := c.Confirm(ctx, &peerrpc.ConfirmRequest{Record: ch.record})
-			if err == nil && res.Version >= ch.record.Version {
+			if err == nil && res.Version >= ch.record.Order() {
 				confirmed(c.Clock.Now())
 				return
 			}
@@ -275,7 +285,7 @@
 		res, err := p.client.Confirm(call, &peerrpc.ConfirmRequest{Record: ch.record})
 		cancel()
 		switch {
-		case err == nil && res.Version >= ch.record.Version:
+		case err == nil && res.Version >= ch.record.Order():
 			confirmed(c.Clock.Now())
 			return
 		case errors.Is(err, peerrpc.ErrNotRunning):
@@ -298,7 +308,12 @@
 		c.adoptLeadership(req.Record)
 		c.publishView()
 		g := c.groupState(req.Record.Group)
-		if g.confirmedVersion >= req.Record.Version {
+		if req.Record.Era < c.era.Load() {
+			// Somebody may have been told otherwise since the store lost the record.
+			done <- 0
+			return
+		}
+		if g.confirmedVersion >= req.Record.Order() {
 			done <- g.confirmedVersion
 			return
 		}
@@ -360,6 +375,7 @@
 		case err == nil:
 			if ch.awaitTakeover(ctx, replicas, best.Endpoint, previousTerm) {
 				ch.record.Primary, ch.record.Settled = best.Endpoint, true
+				ch.record.Revision++
 				return true
 			}
 		case c.Promoter.IsRefusal(err):
@@ -541,7 +557,7 @@
 	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
-		version, err := c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+		version, err := c.apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
 		cancel()
 		if err == nil {
 			c.Log.Info("control: change of primary complete", "group", string(ch.old.Group), "primary", string(ch.record.Primary),
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -76,6 +76,13 @@
 	// keepersByGroup holds the keepers of each group; see forward.Directory.
 	keepersByGroup atomic.Pointer[map[fleet.GroupID][]forward.Keeper]
 
+	// era is the era of the copy of the fleet's table. eraBegan wakes register when
+	// another one begins.
+	era      atomic.Uint64
+	eraBegan chan struct{}
+	// eraRows are the rows that record the latest eras, as far as the table lacks them.
+	eraRows atomic.Pointer[[]kvstore.Row]
+
 	// ctx is cancelled when Run returns.
 	ctx context.Context
 
@@ -95,6 +102,12 @@
 	peers       map[fleet.InstanceID]*peer
 	// memberRows caches the decoded member records by the key of their row.
 	memberRows map[string]memberRow
+	// eraSeenAt is when the latest era began for this process, 0 if the process started
+	// in it, and provenSince the era of its first proof. retained holds the members that
+	// were known then, for memberRetention.
+	eraSeenAt   time.Duration
+	provenSince uint64
+	retained    map[string]memberRow
 	// order holds the members in the order of package relay.
 	order    []relay.Member
 	role     relay.Role
@@ -130,13 +143,21 @@
 type group struct {
 	record    catalog.Leadership
 	learnedAt time.Duration
-	// announced is set when the holder has announced the settled record before
-	// the table has it.
-	announced bool
+	// rowVersion and rowOrder are the version and announcedVersion of the record in the
+	// table, 0 if there is none.
+	rowVersion, rowOrder uint64
+	// earlierProof is the latest proof of this instance from the era of the record, if
+	// the record is from an earlier era than the table; negative if there was none.
+	earlierProof time.Duration
+	// renewing is set while this instance writes the record again in a new era, and
+	// nextRenewal is when it may try again. renewedAt is when it learned that somebody
+	// has.
+	renewing               bool
+	nextRenewal, renewedAt time.Duration
 	// changedVersion is the version of the newest record that changed more than the
 	// users of the primary.
 	changedVersion uint64
-	// confirmedVersion is the version of the newest record for which this instance
+	// confirmedVersion is the order of the newest record for which this instance
 	// has stopped using earlier primaries.
 	confirmedVersion uint64
 	confirmWaiters   []chan uint64
@@ -173,6 +194,10 @@
 	// Until awayUntil the instance does not serve: it has said that it is leaving or
 	// starting. After that the list of absent instances tells.
 	awayUntil time.Duration
+	// provenSince is the era in which the instance's process had its first proof, and
+	// learnAt when it may be called back for what the store has lost.
+	provenSince uint64
+	learnAt     time.Duration
 	// reported is the list of heard instances that this instance has told it last.
 	reported []fleet.InstanceID
 }
@@ -191,7 +216,9 @@
 		members: map[fleet.InstanceID]catalog.Member{}, peers: map[fleet.InstanceID]*peer{}, lease: lease.New(),
 		leases: map[fleet.GroupID]time.Duration{}, groupDataCentres: map[fleet.GroupID]map[fleet.DataCentre]bool{},
 		memberRows: map[string]memberRow{}, presence: relay.NewPresence(), changed: make(chan struct{}),
+		eraBegan: make(chan struct{}, 1),
 	}
+	ctl.eraRows.Store(&[]kvstore.Row{})
 	for _, name := range []string{c.Schema.OperatorTable, c.Schema.EndpointTable, c.Schema.FleetTable} {
 		ctl.tables[name] = &table{rows: map[string]kvstore.Row{}, deleted: map[string]kvstore.Row{}}
 	}
@@ -261,6 +288,7 @@
 				c.evaluatePrimaries(ctx)
 				c.removeGoneMembers(ctx, now)
 				c.heldFeeds.restartStale(now)
+				c.dropRetainedMembers(now)
 			})
 		}
 	}
@@ -287,7 +315,7 @@
 func (c *Controller) groupState(id fleet.GroupID) *group {
 	g := c.groups[id]
 	if g == nil {
-		g = &group{record: catalog.Leadership{Group: id}, learnedAt: c.Clock.Now()}
+		g = &group{record: catalog.Leadership{Group: id}, learnedAt: c.Clock.Now(), earlierProof: -1}
 		c.groups[id] = g
 	}
 	return g
@@ -297,29 +325,37 @@
 // is replaced by a planned change. takeover.EffectiveAt allows for it.
 const plannedChangeGrace = takeover.TransactionGrace
 
-// adoptLeadership installs a record if it is newer than the known one. Of two
-// records with the same version, the settled one is newer: the holder announces
-// the end of a change before the store has it.
-// It reports whether it was.
+// adoptLeadership installs a record if it is newer than the known one: the holder
+// announces the end of a change before the store has it, and what was lost with the store
+// is still known here. It reports whether it was.
 func (c *Controller) adoptLeadership(l catalog.Leadership) bool {
 	g := c.groupState(l.Group)
 	old := g.record
-	if l.Version < old.Version || l.Version == old.Version && (old.Settled || !l.Settled) {
+	if l.Compare(old) <= 0 {
 		return false
 	}
+	if same := old; l.Order() == old.Order() {
+		if same.Version = l.Version; same.Equal(l) {
+			g.record.Version = l.Version
+			return false
+		}
+	}
 	if !l.Settled || l.Term != old.Term || l.Primary != old.Primary && old.Version > 0 {
 		g.changedVersion = l.Version
 	}
-	g.announced = l.Version == old.Version
 	g.record, g.learnedAt = l, c.Clock.Now()
-	c.Log.Info("control: leadership record adopted", "group", string(l.Group), "version", l.Version, "term", uint64(l.Term),
+	if l.RenewedEra > old.RenewedEra {
+		g.renewedAt = g.learnedAt
+	}
+	c.Log.Info("control: leadership record adopted", "group", string(l.Group), "version", l.Version, "era", l.Era, "revision", l.Revision,
+		"term", uint64(l.Term),
 		"primary", string(l.Primary), "former", string(l.Former), "settled", l.Settled, "holder", string(l.Holder))
 	c.Metrics.Count("leader_records")
 	c.signalChange()
 	if old.Primary == l.Primary && l.Settled {
 		// This instance may have been removed as a user.
 		c.renewLease()
-		c.markConfirmed(g, l.Version)
+		c.markConfirmed(g, l.Order())
 		return true
 	}
 	wait := time.Duration(0)
@@ -329,8 +365,8 @@
 	// The data path must see the record before DrainPrimary ends what still runs.
 	c.publishView()
 	go func() {
-		c.Pool.DrainPrimary(l.Group, wait, l.Version)
-		if c.runInLoop(c.ctx, func() { c.markConfirmed(g, l.Version) }) != nil {
+		c.Pool.DrainPrimary(l.Group, wait, l.Order())
+		if c.runInLoop(c.ctx, func() { c.markConfirmed(g, l.Order()) }) != nil {
 			return // the controller has stopped
 		}
 	}()
@@ -338,7 +374,7 @@
 }
 
 // markConfirmed records that this instance no longer uses primaries from before
-// the record of the given version, and answers the waiting Confirm calls.
+// the record of the given order, and answers the waiting Confirm calls.
 func (c *Controller) markConfirmed(g *group, version uint64) {
 	g.confirmedVersion = max(g.confirmedVersion, version)
 	for _, w := range g.confirmWaiters {
@@ -421,7 +457,7 @@
 			}
 			continue
 		}
-		if at := c.lease.Expiry(c.Self.ID, g.record.Users, g.record.Removed); at > c.leases[id] {
+		if at := c.leaseExpiry(g); at > c.leases[id] {
 			c.leases[id] = at
 			renewed = true
 		}
@@ -460,6 +496,10 @@
 		if g.changing {
 			continue
 		}
+		if g.record.Version > 0 && g.record.Era < c.era.Load() {
+			c.renewRecord(ctx, now, id, g)
+			continue
+		}
 		c.joinUsers(ctx, now, id, g)
 		c.removeGoneUsers(ctx, now, id, g)
 		s, addr := c.takeoverObservation(id, now)
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -323,14 +323,21 @@
 		} else if !current {
 			row := kvstore.Row{Table: c.Schema.FleetTable, Key: key, Version: version, Value: value}
 			call, cancel := context.WithTimeout(ctx, readTimeout)
-			_, err := c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+			_, err := c.apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
 			cancel()
 			if err != nil {
 				c.Log.Warn("control: registration as a member failed", "error", err.Error())
 				pause, retry = retry, min(2*retry, maxRetryDelay)
 			}
 		}
-		if !sleep(ctx, pause) {
+		timer := time.NewTimer(pause)
+		select {
+		case <-c.eraBegan:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -42,6 +42,9 @@
 	if t.loaded && kvstore.Era(asOf) < kvstore.Era(t.asOf) {
 		return
 	}
+	if name == c.Schema.FleetTable {
+		c.seeEra(asOf)
+	}
 	before := t.rows
 	t.rows = make(map[string]kvstore.Row, len(all))
 	for _, r := range all {
@@ -168,18 +171,26 @@
 	c.memberRows = make(map[string]memberRow, len(rowsBefore))
 	c.members = make(map[fleet.InstanceID]catalog.Member, len(rowsBefore))
 	membersChanged := false
+	for id, g := range c.groups {
+		if _, ok := t.rows[leaderPrefix+string(id)]; !ok {
+			g.rowVersion, g.rowOrder = 0, 0
+		}
+	}
 	for key, r := range t.rows {
 		switch {
 		case strings.HasPrefix(key, leaderPrefix):
-			if g := c.groups[fleet.GroupID(key[len(leaderPrefix):])]; g != nil && g.record.Version >= r.Version && !g.announced {
+			g := c.groupState(fleet.GroupID(key[len(leaderPrefix):]))
+			if g.rowVersion == r.Version {
 				continue
 			}
+			g.rowVersion, g.rowOrder = r.Version, 0
 			var l catalog.Leadership
 			if err := json.Unmarshal(r.Value, &l); err != nil {
 				c.Log.Warn("control: invalid leadership record ignored", "key", key, "error", err.Error())
 				continue
 			}
 			l.Version = r.Version
+			g.rowOrder = announcedVersion(l)
 			c.adoptLeadership(l)
 		case strings.HasPrefix(key, memberPrefix):
 			known, ok := rowsBefore[key]
@@ -195,6 +206,8 @@
 			c.members[known.member.ID] = known.member
 		}
 	}
+	c.retainMembers()
+	c.updateEraRows(t)
 	if membersChanged || len(rowsBefore) != len(c.memberRows) {
 		c.updatePeers()
 	}
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -241,12 +241,13 @@
 // storeRecord stores a record on the condition that the stored one has its version, and
 // adopts it with the new one.
 func (c *Controller) storeRecord(ctx context.Context, l *catalog.Leadership) bool {
+	*l = l.Next(c.era.Load())
 	value, err := json.Marshal(l)
 	version := uint64(0)
 	if err == nil {
 		row := kvstore.Row{Table: c.Schema.FleetTable, Key: leaderPrefix + string(l.Group), Value: value, Version: l.Version}
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
-		version, err = c.Store.Apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+		version, err = c.apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
 		cancel()
 	}
 	if err != nil {
@@ -284,7 +285,7 @@
 	go func() {
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
-		_, err := c.Store.Apply(call, kvstore.Transaction{Require: gone, Delete: gone})
+		_, err := c.apply(call, kvstore.Transaction{Require: gone, Delete: gone})
 		c.Log.Info("control: records of members removed that are gone", "count", len(gone), "error", errorText(err))
 		sleep(ctx, claimTimeout)
 		if c.runInLoop(ctx, func() { c.removingMembers = false }) != nil {
@@ -349,7 +350,7 @@
 				return
 			}
 			res, err := peers[0].client.Confirm(call, &peerrpc.ConfirmRequest{Record: l})
-			answers <- err == nil && res.Version >= l.Version || errors.Is(err, peerrpc.ErrNotRunning)
+			answers <- err == nil && res.Version >= l.Order() || errors.Is(err, peerrpc.ErrNotRunning)
 		}()
 	}
 	known := 0
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -202,7 +202,7 @@
 // watchRequest returns a request to a peer.
 func (c *Controller) watchRequest(now time.Duration, p *peer, hold time.Duration) peerrpc.WatchRequest {
 	req := peerrpc.WatchRequest{From: c.Self.ID, Tables: c.tableStates(), ProofAgeMS: -1, HoldMS: hold.Milliseconds(),
-		Serving: c.serving(), AbsentHash: c.absentHash, InContact: c.inContact(now)}
+		Serving: c.serving(), AbsentHash: c.absentHash, InContact: c.inContact(now), Era: c.era.Load()}
 	if at, ok := c.lease.Proof(); ok {
 		req.ProofAgeMS = (now - at).Milliseconds() + 1
 	}
@@ -218,10 +218,10 @@
 	return req
 }
 
-// announcedVersion orders the records of a group: of two with the same version the
+// announcedVersion orders the records of a group: of two with the same order the
 // settled one is newer.
 func announcedVersion(l catalog.Leadership) uint64 {
-	v := l.Version << 1
+	v := l.Order() << 1
 	if l.Settled {
 		v++
 	}
@@ -232,8 +232,8 @@
 // copy of the fleet's table lacks.
 func (c *Controller) announcedLeaders() []catalog.Leadership {
 	var out []catalog.Leadership
-	for id, g := range c.groups {
-		if g.record.Version > 0 && (g.announced || c.tables[c.Schema.FleetTable].rows[leaderPrefix+string(id)].Version != g.record.Version) {
+	for _, g := range c.groups {
+		if g.record.Version > 0 && announcedVersion(g.record) > g.rowOrder {
 			out = append(out, g.record)
 		}
 	}
@@ -342,7 +342,8 @@
 		c.setContact(sent - time.Duration(res.ContactAgeMS)*time.Millisecond)
 	}
 	c.lease.AddPeerResponse(p.ID, start, res.ProofAgeMS >= 0)
-	if res.ProofAgeMS >= 0 {
+	p.provenSince = res.ProvenSince
+	if res.ProofAgeMS >= 0 && res.Era >= c.era.Load() {
 		c.addProof(sent - time.Duration(res.ProofAgeMS)*time.Millisecond)
 	} else {
 		c.renewLease()
@@ -355,6 +356,9 @@
 // addProof records a proof and lets the instances that follow this one know.
 func (c *Controller) addProof(at time.Duration) {
 	before, ok := c.lease.Proof()
+	if !ok {
+		c.provenSince = c.era.Load()
+	}
 	c.lease.AddProof(at)
 	c.renewLease()
 	if after, _ := c.lease.Proof(); !ok || after >= before+proofGain {
@@ -371,7 +375,7 @@
 		if c.runInLoop(ctx, func() {
 			now := c.Clock.Now()
 			at, ok := c.lease.Proof()
-			if !ok || now <= at+maxRelayedProofAge {
+			if !ok || now <= at+maxRelayedProofAge && !c.usesEarlierRecords() {
 				return
 			}
 			for _, p := range c.fellowUsers() {
@@ -478,6 +482,7 @@
 	if c.role.Root {
 		c.updateRole(now)
 	}
+	c.learnFrom(now, req)
 	switch p := c.peers[req.From]; {
 	case p == nil:
 	case p.down:
@@ -490,7 +495,7 @@
 
 // newsFor returns what an instance lacks that called held ago, and when to tell it.
 func (c *Controller) newsFor(now, held time.Duration, req *peerrpc.WatchRequest) (*peerrpc.WatchResponse, urgency) {
-	res := &peerrpc.WatchResponse{ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving()}
+	res := &peerrpc.WatchResponse{ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving(), Era: c.era.Load(), ProvenSince: c.provenSince}
 	news := noNews
 	if at, ok := c.lease.Proof(); ok {
 		// Rounded up, so that the caller never takes the proof for younger than it is.
@@ -527,7 +532,7 @@
 			}
 		}
 	}
-	for _, l := range c.announcedLeaders() {
+	for _, l := range c.leadersFor(req) {
 		if announcedVersion(l) > req.Announced[l.Group] {
 			res.Leaders = append(res.Leaders, l)
 			news = urgent
@@ -552,7 +557,7 @@
 			g := c.groups[fleet.GroupID(id)]
 			return g == nil || g.changedVersion > asOf
 		}
-		return !strings.HasPrefix(r.Key, memberPrefix)
+		return !strings.HasPrefix(r.Key, memberPrefix) && !strings.HasPrefix(r.Key, eraPrefix)
 	})
 }
 
--- a/edge/peerrpc/peerrpc.go
+++ b/edge/peerrpc/peerrpc.go
@@ -42,7 +42,7 @@
 type WatchRequest struct {
 	From   fleet.InstanceID      `json:"f"`
 	Tables map[string]TableState `json:"t"`
-	// Announced holds the versions of the leadership records that the caller knows
+	// Announced holds the order of the leadership records that the caller knows
 	// and its copy of the fleet's table lacks.
 	Announced map[fleet.GroupID]uint64 `json:"l,omitempty"`
 	// ProofAgeMS is the age of the caller's proof in milliseconds, see
@@ -59,6 +59,8 @@
 	Heard []fleet.InstanceID `json:"e"`
 	// AbsentHash is the hash of the absent instances known to the caller.
 	AbsentHash uint64 `json:"b,omitempty"`
+	// Era is the era of the caller's copy of the fleet's own table.
+	Era uint64 `json:"g,omitempty"`
 }
 
 // WatchResponse returns the state that the caller lacks.
@@ -83,6 +85,10 @@
 	// the caller has another list.
 	Absent    []fleet.InstanceID `json:"b,omitempty"`
 	HasAbsent bool               `json:"a,omitempty"`
+	// Era is the era of this instance's copy of the fleet's own table, and ProvenSince
+	// the era in which its process had its first proof.
+	Era         uint64 `json:"g,omitempty"`
+	ProvenSince uint64 `json:"o,omitempty"`
 }
 
 // ConfirmRequest asks an instance to act on a group's leadership record.
@@ -92,7 +98,8 @@
 
 // ConfirmResponse confirms that the instance has stopped using any earlier primary.
 type ConfirmResponse struct {
-	// Version is the version of the record that the instance acts on.
+	// Version is the order of the record that the instance acts on, 0 if the record of
+	// the request is from an earlier era than the instance's copy of the table.
 	Version uint64 `json:"v"`
 }
 
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -513,7 +513,7 @@
 		c, open = &Conn{endpoint: s, account: r.Account, Settings: map[string]string{}, PreparedNames: map[string]string{}}, true
 	}
 	primary, usable := p.usablePrimary(r.Group, now)
-	c.Primary, c.recordVersion = usable && s.ID == primary, p.view.Leaders[r.Group].Version
+	c.Primary, c.recordVersion = usable && s.ID == primary, p.view.Leaders[r.Group].Order()
 	c.revoked.Store(false)
 	c.catalogEntry = s.Endpoint
 	s.inUse[c] = struct{}{}
