control: a configuration that the store has lost is passed on

An instance that started after a restore of the store used the copy's older configuration, in which a withdrawn key was valid, until the operator wrote the newest one again, although the other instances had it in force.

An instance whose table has an older configuration than the one in force now says so in its calls. It answers with the configuration in force, and a caller that precedes it and follows nobody is called back by the one that lacks it. The operator's version orders configurations, as before.

TestWithdrawnKeyStaysWithdrawnAfterRestore failed before ("condition not true within 3s").

--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -89,6 +89,8 @@
 	// Only the control goroutine may use the fields below.
 	tables  map[string]*table
 	catalog *catalog.Catalog
+	// catalogAhead is set while the store has only an older configuration.
+	catalogAhead bool
 	// listedByGroup holds the same endpoints as listed.
 	listedByGroup map[fleet.GroupID][]catalog.Endpoint
 	// listed holds the endpoints in the platform's list; unlisted holds those that
--- a/edge/control/era.go
+++ b/edge/control/era.go
@@ -168,7 +168,7 @@
 	if p == nil || now < p.learnAt {
 		return
 	}
-	more := req.Era > c.era.Load()
+	more := req.Era > c.era.Load() || c.catalog != nil && req.CatalogAhead > c.catalog.Version
 	for id, v := range req.Announced {
 		if g := c.groups[id]; g != nil && g.record.Era < c.era.Load() && v > announcedVersion(g.record) {
 			more = true
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -115,15 +115,39 @@
 		c.Metrics.Count("catalogs_rejected")
 		return
 	}
+	c.catalogAhead = c.catalog != nil && next.Version < c.catalog.Version
+	c.installCatalog(next)
+}
+
+// adoptCatalog puts a configuration into force that another instance passes on, because
+// the store has lost it. It reports whether it is newer than the one in force.
+func (c *Controller) adoptCatalog(raw []byte) bool {
+	next, err := c.Schema.DecodeCatalog(raw)
+	if err != nil {
+		c.Log.Warn("control: invalid configuration from another instance ignored", "error", err.Error())
+		return false
+	}
+	if !c.installCatalog(next) {
+		return false
+	}
+	c.catalogAhead = true
+	c.signalChange()
+	return true
+}
+
+// installCatalog puts a configuration into force if it is newer than the one in force by
+// the operator's version. It reports whether it is.
+func (c *Controller) installCatalog(next *catalog.Catalog) bool {
 	if c.catalog != nil && next.Version <= c.catalog.Version {
-		return
+		return false
 	}
 	c.catalog = next
 	c.Limiter.SetAccounts(c.Clock.Now(), next.Accounts)
 	c.assignHomes()
 	c.Metrics.Gauge("catalog_version", int64(next.Version))
-	c.Log.Info("control: configuration in force", "version", next.Version, "bytes", len(row.Value), "routes", len(next.Routes),
+	c.Log.Info("control: configuration in force", "version", next.Version, "bytes", len(next.Raw), "routes", len(next.Routes),
 		"accounts", len(next.Accounts), "keys", len(next.Keys))
+	return true
 }
 
 // updateEndpoints installs the platform's list of endpoints.
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -203,6 +203,12 @@
 func (c *Controller) watchRequest(now time.Duration, p *peer, hold time.Duration) peerrpc.WatchRequest {
 	req := peerrpc.WatchRequest{From: c.Self.ID, Tables: c.tableStates(), ProofAgeMS: -1, HoldMS: hold.Milliseconds(),
 		Serving: c.serving(), AbsentHash: c.absentHash, InContact: c.inContact(now), Era: c.era.Load()}
+	if c.catalogAhead {
+		req.CatalogAhead = c.catalog.Version
+	}
+	if c.catalog != nil {
+		req.CatalogVersion = c.catalog.Version
+	}
 	if at, ok := c.lease.Proof(); ok {
 		req.ProofAgeMS = (now - at).Milliseconds() + 1
 	}
@@ -330,6 +336,9 @@
 			changed = true
 		}
 	}
+	if res.Catalog != nil && c.adoptCatalog(res.Catalog) {
+		changed = true
+	}
 	if changed {
 		c.publishView()
 	}
@@ -538,6 +547,10 @@
 			news = urgent
 		}
 	}
+	if c.catalogAhead && req.CatalogVersion < c.catalog.Version {
+		res.Catalog = c.catalog.Raw
+		news = urgent
+	}
 	if req.AbsentHash != c.absentHash {
 		res.HasAbsent = true
 		for id := range c.absent {
--- a/edge/peerrpc/peerrpc.go
+++ b/edge/peerrpc/peerrpc.go
@@ -61,6 +61,10 @@
 	AbsentHash uint64 `json:"b,omitempty"`
 	// Era is the era of the caller's copy of the fleet's own table.
 	Era uint64 `json:"g,omitempty"`
+	// CatalogVersion is the operator's version of the configuration in force at the
+	// caller, and CatalogAhead the same if the store has only an older one.
+	CatalogVersion uint64 `json:"v,omitempty"`
+	CatalogAhead   uint64 `json:"n,omitempty"`
 }
 
 // WatchResponse returns the state that the caller lacks.
@@ -89,6 +93,9 @@
 	// the era in which its process had its first proof.
 	Era         uint64 `json:"g,omitempty"`
 	ProvenSince uint64 `json:"o,omitempty"`
+	// Catalog is the encoded configuration in force, if the caller has an older one and
+	// the store has lost it.
+	Catalog []byte `json:"n,omitempty"`
 }
 
 // ConfirmRequest asks an instance to act on a group's leadership record.
