control: an older entry of an endpoint from the store's copy does not count

After a restore of the store an endpoint that had announced its end, or had left the list, came back into use through the copy until it reported again, so requests could reach it after the drain time.

Cause: entries were taken as they came. They carry the start of the endpoint's process and a count of its reports, which order them. In a later era an older entry is replaced by the one known from before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -112,6 +112,15 @@
 	Primary bool
 	// WarmUp is how long the endpoint is slow after its start.
 	WarmUp time.Duration
+	// Born identifies the start of the endpoint's process, in milliseconds, and Sequence
+	// counts what the process has reported.
+	Born, Sequence int64
+}
+
+// CompareReport orders two entries of the same endpoint: the one reported later is
+// greater.
+func (e Endpoint) CompareReport(o Endpoint) int {
+	return cmp.Or(cmp.Compare(e.Born, o.Born), cmp.Compare(e.Sequence, o.Sequence))
 }
 
 // Leadership is the record in the store of the primary of a group.
--- a/edge/app/era_test.go
+++ b/edge/app/era_test.go
@@ -221,3 +221,29 @@
 	}
 	assert.Equal(t, len(f.group.Violations()), 0, "%v", f.group.Violations())
 }
+
+// Guards against an endpoint that comes back into use through the copy although it had
+// left the list, and against one that stays out although it has registered again.
+func TestGoneEndpointStaysOutAfterRestore(t *testing.T) {
+	f := newTestFleet(t)
+	a, _ := f.startInstance("edge-1", true)
+	f.startInstance("edge-2", true)
+	listed := func() bool {
+		for _, e := range a.control.View().Endpoints["bookings"] {
+			if e.ID == "bookings-2" {
+				return true
+			}
+		}
+		return false
+	}
+	c := f.store.Copy()
+	f.store.Delete("servers", "bookings-2")
+	f.waitUntil(4*time.Second, func() bool { return !listed() })
+	f.restore(c)
+	for range 40 {
+		assert.Assert(t, !listed())
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.endpoints[2].Register()
+	f.waitUntil(2*time.Second, listed)
+}
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -99,9 +99,12 @@
 	listed      map[fleet.EndpointID]catalog.Endpoint
 	unlisted    map[fleet.EndpointID]time.Duration
 	lastEntries map[fleet.EndpointID]catalog.Endpoint
-	groups      map[fleet.GroupID]*group
-	members     map[fleet.InstanceID]catalog.Member
-	peers       map[fleet.InstanceID]*peer
+	// entries holds the latest entry of each endpoint that is listed or has left the list
+	// within goneRetention.
+	entries map[fleet.EndpointID]*endpointEntry
+	groups  map[fleet.GroupID]*group
+	members map[fleet.InstanceID]catalog.Member
+	peers   map[fleet.InstanceID]*peer
 	// memberRows caches the decoded member records by the key of their row.
 	memberRows map[string]memberRow
 	// eraSeenAt is when the latest era began for this process, 0 if the process started
@@ -215,6 +218,7 @@
 		Config: c, mailbox: make(chan func(), 64), tables: map[string]*table{},
 		listed: map[fleet.EndpointID]catalog.Endpoint{}, unlisted: map[fleet.EndpointID]time.Duration{},
 		lastEntries: map[fleet.EndpointID]catalog.Endpoint{}, groups: map[fleet.GroupID]*group{},
+		entries: map[fleet.EndpointID]*endpointEntry{},
 		members: map[fleet.InstanceID]catalog.Member{}, peers: map[fleet.InstanceID]*peer{}, lease: lease.New(),
 		leases: map[fleet.GroupID]time.Duration{}, groupDataCentres: map[fleet.GroupID]map[fleet.DataCentre]bool{},
 		memberRows: map[string]memberRow{}, presence: relay.NewPresence(), changed: make(chan struct{}),
@@ -488,6 +492,7 @@
 func (c *Controller) evaluatePrimaries(ctx context.Context) {
 	now := c.Clock.Now()
 	c.removeUnlistedEndpoints(now)
+	c.reviewEntries(now)
 	c.assignHomes()
 	if c.catalog == nil || !c.tables[c.Schema.FleetTable].loaded {
 		return
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -162,6 +162,10 @@
 			c.Log.Warn("control: invalid endpoint entry ignored", "error", err.Error())
 			continue
 		}
+		e, ok := c.latestEntry(e, r.Version)
+		if !ok {
+			continue
+		}
 		c.listed[e.ID] = e
 		if c.groupDataCentres[e.Group] == nil {
 			c.groupDataCentres[e.Group] = map[fleet.DataCentre]bool{}
@@ -185,6 +189,9 @@
 		if _, ok := c.listed[id]; !ok {
 			c.Log.Info("control: endpoint no longer listed", "endpoint", string(id), "group", string(e.Group))
 			c.unlisted[id] = now
+			if k := c.entries[id]; k != nil {
+				k.gone, k.goneAt, k.goneEra = true, now, kvstore.Era(t.asOf)
+			}
 		}
 	}
 }
