e2e/soak: the store comes back from a copy

One fault of thirteen: the store is away for 0.3 s and comes back as of up to 2.8 s before, in series with the other faults; the operator and the endpoints write again what they have written.

--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -84,6 +84,7 @@
 	version      int
 
 	mu     sync.Mutex
+	config map[string]any
 	faults []string
 	events []string
 }
@@ -193,11 +194,32 @@
 	for i := range w.idleAccounts {
 		tenants = append(tenants, map[string]any{"name": fmt.Sprint("idle-", i), "api_keys": []string{fmt.Sprint("idle-key-", i)}, "rate_per_s": 10, "burst": 10})
 	}
-	w.store.Put("op", "config", map[string]any{"version": w.version,
+	config := map[string]any{"version": w.version,
 		"routes":   []any{route("latest", "primary"), route("bounded", "bounded_staleness"), route("own", "read_your_writes")},
 		"services": []any{map[string]any{"name": "bookings", "max_conns": 40, "sync_replicas": 0}},
 		"limits":   map[string]any{"tx_idle_ms": 2000},
-		"tenants":  tenants})
+		"tenants":  tenants}
+	w.mu.Lock()
+	w.config = config
+	w.mu.Unlock()
+	w.store.Put("op", "config", config)
+}
+
+// restore brings the store back from a copy. The operator and the endpoints write again
+// what they have written.
+func (w *world) restore(c standin.Copy) {
+	w.store.Refuse(503)
+	time.Sleep(300 * time.Millisecond)
+	w.note("restore")
+	w.store.Restore(c)
+	w.store.Refuse(0)
+	w.mu.Lock()
+	config := w.config
+	w.mu.Unlock()
+	w.store.Put("op", "config", config)
+	for _, e := range w.endpoints {
+		e.Register()
+	}
 }
 
 func (w *world) prepare(dir string, i int, store, promoter string, seed uint64) {
@@ -255,7 +277,7 @@
 	in, e := w.instances[w.rnd.IntN(instances)], w.rnd.IntN(len(w.endpoints))
 	wait := time.Duration(300+w.rnd.IntN(2500)) * time.Millisecond
 	later := func(f func()) { heal.Go(func() { time.Sleep(wait); f() }) }
-	kind := w.rnd.IntN(12)
+	kind := w.rnd.IntN(13)
 	w.note("fault %d: %s, endpoint %d, for %v", kind, in.name, e, wait)
 	switch kind {
 	case 0:
@@ -297,5 +319,8 @@
 		w.endpoints[e].Shed(5)
 	case 11:
 		w.publish()
+	case 12:
+		c := w.store.Copy()
+		later(func() { w.restore(c) })
 	}
 }
