edge/app: tests of a late write and of a restore during a change of primary

Both pass: a write of the era before is refused once the fleet has written in the new one, and a change that a restore interrupts is claimed again.

--- a/edge/app/era_test.go
+++ b/edge/app/era_test.go
@@ -1,7 +1,10 @@
 package app
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +13,9 @@
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/kvstore"
 	"github.com/vanillahinge/vanillahinge/core/relay"
+	"github.com/vanillahinge/vanillahinge/platform"
 	"github.com/vanillahinge/vanillahinge/platform/standin"
 )
 
@@ -247,3 +252,45 @@
 	f.endpoints[2].Register()
 	f.waitUntil(2*time.Second, listed)
 }
+
+// Guards against a write of an earlier era that the store applies late, to a row whose
+// version has been given out again: the fleet's writes record the era.
+func TestLateWriteAfterRestoreIsRejected(t *testing.T) {
+	f := newTestFleet(t)
+	f.startInstance("edge-1", true)
+	c := f.store.Copy()
+	f.restore(c)
+	store := platform.NewStore(f.storeAddr)
+	late := kvstore.Transaction{Require: []kvstore.Row{{Table: platform.FleetTable, Key: "era/2"}},
+		Put: []kvstore.Row{{Table: platform.FleetTable, Key: "leader/bookings", Value: []byte("{}")}}}
+	f.waitUntil(3*time.Second, func() bool {
+		rows, _, err := store.ReadTable(context.Background(), platform.FleetTable)
+		assert.NilError(t, err)
+		return slices.ContainsFunc(rows, func(r kvstore.Row) bool { return r.Key == "era/2" })
+	})
+	_, err := store.Apply(context.Background(), late)
+	assert.Assert(t, errors.Is(err, kvstore.ErrConflict), "%v", err)
+}
+
+// Guards against a group that stays without a primary, or a lower fencing token, when the
+// store is restored in the middle of a change of primary.
+func TestRestoreDuringChangeOfPrimary(t *testing.T) {
+	f := newTestFleet(t)
+	a, _ := f.startInstance("edge-1", true)
+	f.startInstance("edge-2", true)
+	f.startInstance("edge-3", true)
+	f.group.PromoteTime = 400 * time.Millisecond
+	c := f.store.Copy()
+	d, _ := dial(t, a, "latest", "key-acme")
+	assert.Assert(t, succeeded(d.query("PUT roof before")))
+	f.endpoints[0].Crash()
+	go func() {
+		for primary(a).Settled {
+			time.Sleep(5 * time.Millisecond)
+		}
+		f.store.Restore(c)
+		f.rewrite()
+	}()
+	f.waitUntil(15*time.Second, func() bool { return succeeded(d.query("PUT roof after")) && f.inForce(f.version) })
+	assert.Equal(t, len(f.group.Violations()), 0, "%v", f.group.Violations())
+}
