control: a configuration is passed on when the store has none or an invalid one

An instance passed on the configuration in force only if the restored table had an older one; a table without the row, or with bytes that can't be read, was taken for up to date.

--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -105,6 +105,7 @@
 
 // updateCatalog puts a newer configuration into force.
 func (c *Controller) updateCatalog(t *table) {
+	c.catalogAhead = c.catalog != nil
 	row, ok := t.rows[c.Schema.ConfigKey]
 	if !ok {
 		return
