--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -87,9 +87,15 @@
 	if !l.hasProof {
 		return 0
 	}
-	proof := l.latestProof
+	return l.ExpirySince(l.latestProof, self, members, removed)
+}
+
+// ExpirySince returns what Expiry would if the latest proof were the given one. It is used
+// while later proofs do not count, because the store may have lost a change.
+func (l *Lease) ExpirySince(latest time.Duration, self fleet.InstanceID, members, removed []fleet.InstanceID) time.Duration {
+	proof := latest
 	if m, ok := l.majorityProof(self, members, removed); ok {
-		proof = max(proof, min(m, l.latestProof+MaxMajorityExtension))
+		proof = max(proof, min(m, latest+MaxMajorityExtension))
 	}
 	return proof + Duration
 }
@@ -118,27 +124,27 @@
 type Permission struct {
 	// Expiry is when the right ends; 0 if there is none.
 	Expiry time.Duration
-	// From and To are the versions of the first and the last record of that primary which
-	// the right covers. Connections that were acquired under another record are not covered.
+	// From and To are the orders of the first and the last record of that primary which the
+	// right covers, see catalog.Leadership. Connections that were acquired under another record are not covered.
 	From, To uint64
 }
 
-// Covers reports whether the permission covers a connection acquired under the record of a
-// version, at time now.
-func (p Permission) Covers(version uint64, now time.Duration) bool {
-	return now < p.Expiry && version >= p.From && version <= p.To
+// Covers reports whether the permission covers a connection acquired under the record of an
+// order, at time now.
+func (p Permission) Covers(order uint64, now time.Duration) bool {
+	return now < p.Expiry && order >= p.From && order <= p.To
 }
 
-// Permission returns the permission of an instance under a record of its group's primary,
-// whose primary has not changed since the record of version changed. before is the
-// permission under the record before. A change that goes on renews nothing: open
-// transactions may use what is left of before.
-func (l *Lease) Permission(before Permission, self fleet.InstanceID, record catalog.Leadership, changed uint64) Permission {
+// Next returns the permission of an instance under a record of its group's primary, whose
+// primary has not changed since the record of order changed. expiry is what the evidence
+// permits under the record. p is the permission under the record before. A change that goes
+// on renews nothing: open transactions may use what is left of p.
+func (p Permission) Next(self fleet.InstanceID, record catalog.Leadership, changed uint64, expiry time.Duration) Permission {
 	switch {
 	case !record.MayUse(self):
 		return Permission{}
 	case !record.Settled:
-		return before
+		return p
 	}
-	return Permission{Expiry: l.Expiry(self, record.Users, record.Removed), From: changed, To: record.Version}
+	return Permission{Expiry: expiry, From: changed, To: record.Order()}
 }
--- a/edge/control/feed.go
+++ b/edge/control/feed.go
@@ -321,15 +321,25 @@
 				pause, retry = retry, min(2*retry, maxRetryDelay)
 			}
 		}
-		if !sleep(ctx, pause) {
+		timer := time.NewTimer(pause)
+		select {
+		case <-c.eraBegan:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
 }
 
 // registered reports whether this instance's copy of the fleet's table has its member
-// record. Only control's goroutine may call it.
-func (c *Controller) registered() bool { return c.members[c.Self.ID] == c.Self }
+// record.
+func (c *Controller) registered() bool {
+	r, ok := c.memberRows[memberPrefix+string(c.Self.ID)]
+	return ok && r.version > 0 && r.member == c.Self
+}
 
 // storeMember stores this instance's member record on the condition that the stored one has
 // not changed.
@@ -342,6 +352,6 @@
 	if err := c.runInLoop(ctx, func() { row.Version = c.tables[row.Table].rows[row.Key].Version }); err != nil {
 		return err
 	}
-	_, err = c.Store.Apply(ctx, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+	_, err = c.apply(ctx, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
 	return err
 }
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -35,9 +35,16 @@
 // maxDeletedRows bounds the deleted rows that are kept for other instances.
 const maxDeletedRows = 1000
 
-// replaceTable installs a complete copy of a table.
+// replaceTable installs a complete copy of a table, unless it is from an earlier era than
+// the one in use.
 func (c *Controller) replaceTable(name string, all []kvstore.Row, asOf uint64) {
 	t := c.tables[name]
+	if t.loaded && kvstore.Era(asOf) < kvstore.Era(t.asOf) {
+		return
+	}
+	if name == c.Schema.FleetTable {
+		c.seeEra(asOf)
+	}
 	before := t.rows
 	t.rows = make(map[string]kvstore.Row, len(all))
 	for _, r := range all {
@@ -98,6 +105,7 @@
 
 // updateCatalog puts a newer configuration into force.
 func (c *Controller) updateCatalog(t *table) {
+	c.catalogAhead = c.catalog != nil
 	row, ok := t.rows[c.Schema.ConfigKey]
 	if !ok {
 		return
@@ -108,15 +116,39 @@
 		c.Metrics.Count("catalogs_rejected")
 		return
 	}
+	c.catalogAhead = c.catalog != nil && next.Version < c.catalog.Version
+	c.installCatalog(next)
+}
+
+// adoptCatalog puts a configuration into force that another instance passes on, because
+// the store has lost it. It reports whether it is newer than the one in force.
+func (c *Controller) adoptCatalog(raw []byte) bool {
+	next, err := c.Schema.DecodeCatalog(raw)
+	if err != nil {
+		c.Log.Warn("control: invalid configuration from another instance ignored", "error", err.Error())
+		return false
+	}
+	if !c.installCatalog(next) {
+		return false
+	}
+	c.catalogAhead = true
+	c.signalChange()
+	return true
+}
+
+// installCatalog puts a configuration into force if it is newer than the one in force by
+// the operator's version. It reports whether it is.
+func (c *Controller) installCatalog(next *catalog.Catalog) bool {
 	if c.catalog != nil && next.Version <= c.catalog.Version {
-		return
+		return false
 	}
 	c.catalog = next
 	c.Limiter.SetAccounts(c.Clock.Now(), next.Accounts)
 	c.assignHomes()
 	c.Metrics.Gauge("catalog_version", int64(next.Version))
-	c.Log.Info("control: configuration in force", "version", next.Version, "bytes", len(row.Value), "routes", len(next.Routes),
+	c.Log.Info("control: configuration in force", "version", next.Version, "bytes", len(next.Raw), "routes", len(next.Routes),
 		"accounts", len(next.Accounts), "keys", len(next.Keys))
+	return true
 }
 
 // updateEndpoints installs the platform's list of endpoints.
@@ -131,6 +163,10 @@
 			c.Log.Warn("control: invalid endpoint entry ignored", "error", err.Error())
 			continue
 		}
+		e, ok := c.latestEntry(e, r.Version)
+		if !ok {
+			continue
+		}
 		c.listed[e.ID] = e
 		if c.groupDataCentres[e.Group] == nil {
 			c.groupDataCentres[e.Group] = map[fleet.DataCentre]bool{}
@@ -154,6 +190,9 @@
 		if _, ok := c.listed[id]; !ok {
 			c.Log.Info("control: endpoint no longer listed", "endpoint", string(id), "group", string(e.Group))
 			c.unlisted[id] = now
+			if k := c.entries[id]; k != nil {
+				k.gone, k.goneAt, k.goneEra = true, now, kvstore.Era(t.asOf)
+			}
 		}
 	}
 }
@@ -164,18 +203,26 @@
 	c.memberRows = make(map[string]memberRow, len(rowsBefore))
 	c.members = make(map[fleet.InstanceID]catalog.Member, len(rowsBefore))
 	membersChanged := false
+	for id, g := range c.groups {
+		if _, ok := t.rows[leaderPrefix+string(id)]; !ok {
+			g.rowVersion, g.rowOrder = 0, 0
+		}
+	}
 	for key, r := range t.rows {
 		switch {
 		case strings.HasPrefix(key, leaderPrefix):
-			if g := c.groups[fleet.GroupID(key[len(leaderPrefix):])]; g != nil && g.record.Version >= r.Version && !g.announced {
+			g := c.groupState(fleet.GroupID(key[len(leaderPrefix):]))
+			if g.rowVersion == r.Version {
 				continue
 			}
+			g.rowVersion, g.rowOrder = r.Version, 0
 			var l catalog.Leadership
 			if err := json.Unmarshal(r.Value, &l); err != nil {
 				c.Log.Warn("control: invalid leadership record ignored", "key", key, "error", err.Error())
 				continue
 			}
 			l.Version = r.Version
+			g.rowOrder = announcedVersion(l)
 			c.adoptLeadership(l)
 		case strings.HasPrefix(key, memberPrefix):
 			known, ok := rowsBefore[key]
@@ -191,6 +238,8 @@
 			c.members[known.member.ID] = known.member
 		}
 	}
+	c.retainMembers()
+	c.updateEraRows(t)
 	if membersChanged || len(rowsBefore) != len(c.memberRows) {
 		c.updatePeers()
 	}
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -202,7 +202,13 @@
 // watchRequest returns a request to a peer.
 func (c *Controller) watchRequest(now time.Duration, p *peer, hold time.Duration) peerrpc.WatchRequest {
 	req := peerrpc.WatchRequest{From: c.Self.ID, Tables: c.tableStates(), ProofAgeMS: -1, HoldMS: hold.Milliseconds(),
-		Serving: c.serving(), AbsentHash: c.absentHash, InContact: c.inContact(now)}
+		Serving: c.serving(), AbsentHash: c.absentHash, InContact: c.inContact(now), Era: c.era.Load()}
+	if c.catalogAhead {
+		req.CatalogAhead = c.catalog.Version
+	}
+	if c.catalog != nil {
+		req.CatalogVersion = c.catalog.Version
+	}
 	if at, ok := c.lease.Proof(); ok {
 		req.ProofAgeMS = (now - at).Milliseconds() + 1
 	}
@@ -218,10 +224,10 @@
 	return req
 }
 
-// announcedVersion orders the records of a group: of two with the same version the
+// announcedVersion orders the records of a group: of two with the same order the
 // settled one is newer.
 func announcedVersion(l catalog.Leadership) uint64 {
-	v := l.Version << 1
+	v := l.Order() << 1
 	if l.Settled {
 		v++
 	}
@@ -232,8 +238,8 @@
 // copy of the fleet's table lacks.
 func (c *Controller) announcedLeaders() []catalog.Leadership {
 	var out []catalog.Leadership
-	for id, g := range c.groups {
-		if g.record.Version > 0 && (g.announced || c.tables[c.Schema.FleetTable].rows[leaderPrefix+string(id)].Version != g.record.Version) {
+	for _, g := range c.groups {
+		if g.record.Version > 0 && announcedVersion(g.record) > g.rowOrder {
 			out = append(out, g.record)
 		}
 	}
@@ -330,6 +336,9 @@
 			changed = true
 		}
 	}
+	if res.Catalog != nil && c.adoptCatalog(res.Catalog) {
+		changed = true
+	}
 	if changed {
 		c.publishView()
 	}
@@ -342,7 +351,8 @@
 		c.setContact(sent - time.Duration(res.ContactAgeMS)*time.Millisecond)
 	}
 	c.lease.AddPeerResponse(p.ID, start, res.ProofAgeMS >= 0)
-	if res.ProofAgeMS >= 0 {
+	p.provenSince = res.ProvenSince
+	if res.ProofAgeMS >= 0 && res.Era >= c.era.Load() {
 		c.addProof(sent - time.Duration(res.ProofAgeMS)*time.Millisecond)
 	} else {
 		c.renewLease()
@@ -355,6 +365,9 @@
 // addProof records a proof and lets the instances that follow this one know.
 func (c *Controller) addProof(at time.Duration) {
 	before, ok := c.lease.Proof()
+	if !ok {
+		c.provenSince = c.era.Load()
+	}
 	c.lease.AddProof(at)
 	c.renewLease()
 	if after, _ := c.lease.Proof(); !ok || after >= before+proofGain {
@@ -371,7 +384,7 @@
 		if c.runInLoop(ctx, func() {
 			now := c.Clock.Now()
 			at, ok := c.lease.Proof()
-			if !ok || now <= at+maxRelayedProofAge {
+			if !ok || now <= at+maxRelayedProofAge && !c.usesEarlierRecords() {
 				return
 			}
 			for _, p := range c.fellowUsers() {
@@ -477,6 +490,7 @@
 	if c.role.Root {
 		c.updateRole(now)
 	}
+	c.learnFrom(now, req)
 	switch p := c.peers[req.From]; {
 	case p == nil:
 	case p.down:
@@ -490,7 +504,8 @@
 // newsFor returns what an instance lacks that called held ago, and when to tell it.
 func (c *Controller) newsFor(now, held time.Duration, req *peerrpc.WatchRequest) (*peerrpc.WatchResponse, urgency) {
 	// The ages below are of the same moment as HeldMS.
-	res := &peerrpc.WatchResponse{HeldMS: held.Milliseconds(), ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving()}
+	res := &peerrpc.WatchResponse{HeldMS: held.Milliseconds(), ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving(),
+		Era: c.era.Load(), ProvenSince: c.provenSince}
 	news := noNews
 	if at, ok := c.lease.Proof(); ok {
 		// Rounded up, so that the caller never takes the proof for younger than it is.
@@ -527,12 +542,16 @@
 			}
 		}
 	}
-	for _, l := range c.announcedLeaders() {
+	for _, l := range c.leadersFor(req) {
 		if announcedVersion(l) > req.Announced[l.Group] {
 			res.Leaders = append(res.Leaders, l)
 			news = urgent
 		}
 	}
+	if c.catalogAhead && req.CatalogVersion < c.catalog.Version {
+		res.Catalog = c.catalog.Raw
+		news = urgent
+	}
 	if req.AbsentHash != c.absentHash {
 		res.HasAbsent = true
 		for id := range c.absent {
@@ -552,7 +571,7 @@
 			g := c.groups[fleet.GroupID(id)]
 			return g == nil || g.changedVersion > asOf
 		}
-		return !strings.HasPrefix(r.Key, memberPrefix)
+		return !strings.HasPrefix(r.Key, memberPrefix) && !strings.HasPrefix(r.Key, eraPrefix)
 	})
 }
 
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -279,14 +279,14 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.permitted(id, p.view.Leaders[id].Version, now)
+	return p.permitted(id, p.view.Leaders[id].Order(), now)
 }
 
-// permitted reports whether the use of the primary that the record of a version names is
+// permitted reports whether the use of the primary that the record of an order names is
 // permitted at time now.
-func (p *Pool) permitted(id fleet.GroupID, version uint64, now time.Duration) bool {
+func (p *Pool) permitted(id fleet.GroupID, order uint64, now time.Duration) bool {
 	permissions := p.permissions.Load()
-	return permissions != nil && (*permissions)[id].Covers(version, now)
+	return permissions != nil && (*permissions)[id].Covers(order, now)
 }
 
 // MaySend reports whether a statement may be sent on a connection now. Call it
@@ -438,7 +438,7 @@
 // usablePrimary returns the id of a group's primary and whether it may be used.
 func (p *Pool) usablePrimary(id fleet.GroupID, now time.Duration) (fleet.EndpointID, bool) {
 	l, ok := p.view.Leaders[id]
-	return l.Primary, ok && l.Settled && l.Primary != "" && p.permitted(id, l.Version, now)
+	return l.Primary, ok && l.Settled && l.Primary != "" && p.permitted(id, l.Order(), now)
 }
 
 // chooseEndpoint returns the endpoint with the lowest expected latency for a
@@ -521,7 +521,7 @@
 		c, open = &Conn{endpoint: s, account: r.Account, Settings: map[string]string{}, PreparedNames: map[string]string{}}, true
 	}
 	primary, usable := p.usablePrimary(r.Group, now)
-	c.Primary, c.recordVersion = usable && s.ID == primary, p.view.Leaders[r.Group].Version
+	c.Primary, c.recordVersion = usable && s.ID == primary, p.view.Leaders[r.Group].Order()
 	c.revoked.Store(false)
 	c.catalogEntry = s.Endpoint
 	s.inUse[c] = struct{}{}
