platform: one row that cannot be read no longer hides a table

Callers would have seen an instance that follows a table no more: endpoints that left were used on, new configurations did not come into force, and after 2.5 s without the fleet's table no primary could be used. The log says "store: lost" although the store answers.

Cause: the whole response to rows-get or rows-feed was decoded at once. A single row with a value that is not base64 or not a text, with a version that is negative, a fraction or too large, with nesting beyond the 10,000 levels of encoding/json, or longer than 4 MiB failed the response, and the same call was repeated for as long as the row was there. A page that ends with a key that is not valid UTF-8 was asked for again and again, and changes of more than 4 MiB were too.

A row that cannot be read is returned without its value and with the reason, so that it takes the place of the row that it replaced; without a key if that cannot be read either.

--- a/core/kvstore/kvstore.go
+++ b/core/kvstore/kvstore.go
@@ -31,6 +31,9 @@
 	Value   []byte
 	Version uint64
 	Deleted bool
+	// Unreadable says why the content of the row could not be decoded, if it could
+	// not. Value is nil then. The row is in the table all the same.
+	Unreadable string `json:",omitempty"`
 }
 
 // Transaction is a conditional write of several rows, applied atomically.
