control: a row that can't be used is logged and counted once

Operators would have had a log full of one odd entry: each change of the endpoints' table decoded all its rows again, logged each invalid one and counted it. The same holds for the configuration and for the fleet's own table.

Before (TestOddEntryIsLoggedAndCountedOnce):

tables_test.go:104: assertion failed: 12 (int) != 1 (int)

A table remembers the version and reason for which a row was refused: it is counted once for each version, and logged once until the reason changes or a valid row takes its place. Refused rows of the fleet's own table are counted as `fleet_rows_ignored`.

--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"maps"
 	"strings"
 
@@ -30,6 +32,46 @@
 	deletionsKnownSince uint64
 	// damaged is set if the copy has turned out to differ from another one.
 	damaged bool
+	// refused holds the rows that could not be used, by key.
+	refused map[string]refusal
+	// entries caches the decoded entries of endpoints, by key.
+	entries map[string]entry
+}
+
+// refusal tells which version of a row was refused and why.
+type refusal struct {
+	version uint64
+	reason  string
+}
+
+// entry is the decoded entry of an endpoint.
+type entry struct {
+	row      kvstore.Row
+	endpoint catalog.Endpoint
+	err      error
+}
+
+// refuse records that a row cannot be used. It is counted once for each version, and
+// logged once until its reason changes.
+func (c *Controller) refuse(t *table, r kvstore.Row, event, metric string, err error) {
+	now := refusal{version: r.Version, reason: err.Error()}
+	before, known := t.refused[r.Key]
+	if known && before == now {
+		return
+	}
+	if t.refused == nil {
+		t.refused = map[string]refusal{}
+	}
+	t.refused[r.Key] = now
+	c.Metrics.Count(metric)
+	if before.reason != now.reason {
+		c.Log.Warn(event, "key", r.Key, "version", r.Version, "error", now.reason)
+	}
+}
+
+// forgetRefusals forgets the refused rows that have been replaced or deleted.
+func (t *table) forgetRefusals() {
+	maps.DeleteFunc(t.refused, func(key string, r refusal) bool { return t.rows[key].Version != r.version })
 }
 
 // maxDeletedRows bounds the deleted rows that are kept for other instances.
@@ -92,6 +134,7 @@
 	case c.Schema.FleetTable:
 		c.updateFleet(t)
 	}
+	t.forgetRefusals()
 	c.publishView()
 	c.signalChange()
 }
@@ -103,9 +146,11 @@
 		return
 	}
 	next, err := c.Schema.DecodeCatalog(row.Value)
+	if row.Unreadable != "" {
+		err = errors.New(row.Unreadable)
+	}
 	if err != nil {
-		c.Log.Warn("control: invalid configuration ignored", "error", err.Error())
-		c.Metrics.Count("catalogs_rejected")
+		c.refuse(t, row, "control: invalid configuration ignored", "catalogs_rejected", err)
 		return
 	}
 	if c.catalog != nil && next.Version <= c.catalog.Version {
@@ -124,13 +169,20 @@
 	now := c.Clock.Now()
 	before := c.listed
 	c.listed = make(map[fleet.EndpointID]catalog.Endpoint, len(t.rows))
-	for _, r := range t.rows {
-		e, err := c.Schema.DecodeEndpoint(r)
-		if err != nil {
-			c.Metrics.Count("endpoint_rows_ignored")
-			c.Log.Warn("control: invalid endpoint entry ignored", "error", err.Error())
+	decoded := t.entries
+	t.entries = make(map[string]entry, len(t.rows))
+	for key, r := range t.rows {
+		d, ok := decoded[key]
+		if !ok || !bytes.Equal(d.row.Value, r.Value) || d.row.Unreadable != r.Unreadable {
+			d.endpoint, d.err = c.Schema.DecodeEndpoint(r)
+		}
+		d.row = r
+		t.entries[key] = d
+		if d.err != nil {
+			c.refuse(t, r, "control: invalid endpoint entry ignored", "endpoint_rows_ignored", d.err)
 			continue
 		}
+		e := d.endpoint
 		c.listed[e.ID] = e
 		if c.groupDataCentres[e.Group] == nil {
 			c.groupDataCentres[e.Group] = map[fleet.DataCentre]bool{}
@@ -171,8 +223,8 @@
 				continue
 			}
 			var l catalog.Leadership
-			if err := json.Unmarshal(r.Value, &l); err != nil {
-				c.Log.Warn("control: invalid leadership record ignored", "key", key, "error", err.Error())
+			if err := decodeFleetRow(r, &l); err != nil {
+				c.refuse(t, r, "control: invalid leadership record ignored", "fleet_rows_ignored", err)
 				continue
 			}
 			l.Version = r.Version
@@ -181,8 +233,8 @@
 			known, ok := rowsBefore[key]
 			if !ok || known.version != r.Version {
 				known = memberRow{version: r.Version}
-				if err := json.Unmarshal(r.Value, &known.member); err != nil {
-					c.Log.Warn("control: invalid member record ignored", "key", key, "error", err.Error())
+				if err := decodeFleetRow(r, &known.member); err != nil {
+					c.refuse(t, r, "control: invalid member record ignored", "fleet_rows_ignored", err)
 					continue
 				}
 				membersChanged = true
@@ -197,6 +249,14 @@
 	c.renewLease()
 }
 
+// decodeFleetRow decodes the value of a row of the fleet's own table.
+func decodeFleetRow(r kvstore.Row, into any) error {
+	if r.Unreadable != "" {
+		return errors.New(r.Unreadable)
+	}
+	return json.Unmarshal(r.Value, into)
+}
+
 // updatePeers updates what depends on the list of members.
 func (c *Controller) updatePeers() {
 	for id, p := range c.peers {
