control: odd records of members and primaries are refused

A group would have lost its primary: a leadership record under the key of one group that names another was adopted for the other, since its version is newer, and one with the term makes the next term 0. A member record that names another member took its place, in an order that changed from one read of the table to the next, so its peers connected to a wrong address; one with a port that can't be dialled counted as a member, and one with 10^308 cores as the first keeper of every group.

catalog.Member and catalog.Leadership now say whether they can be the record of their key: the same id or group, addresses with a port, capacity, term and order of users within bounds, a primary if settled.

--- /dev/null
+++ b/core/catalog/validate.go
@@ -0,0 +1,75 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+)
+
+const (
+	// MaxTerm limits the term of a record, so that the next one can be represented.
+	MaxTerm = math.MaxInt64
+	// maxCapacity limits the processor share of a machine, in cores.
+	maxCapacity = 1 << 16
+)
+
+// Validate reports why a record read from the store cannot be that of a group.
+func (l Leadership) Validate(group fleet.GroupID) error {
+	switch {
+	case l.Group != group || group == "":
+		return fmt.Errorf("leadership record of group %.60q names group %.60q; delete it or correct its key", group, l.Group)
+	case l.Term > MaxTerm:
+		return fmt.Errorf("leadership record of group %.60q: term %d is above %d; restore the record", group, l.Term, uint64(MaxTerm))
+	case l.Settled && l.Primary == "":
+		return fmt.Errorf("leadership record of group %.60q is settled and names no primary; restore the record", group)
+	case !ascending(l.Users) || !ascending(l.Removed):
+		return fmt.Errorf("leadership record of group %.60q: users are not in ascending order; restore the record", group)
+	}
+	return nil
+}
+
+// ascending reports whether ids are in order and none occurs twice.
+func ascending(ids []fleet.InstanceID) bool {
+	return slices.IsSorted(ids) && len(slices.Compact(slices.Clone(ids))) == len(ids)
+}
+
+// Validate reports why a record read from the store cannot be that of a member.
+func (m Member) Validate(id fleet.InstanceID) error {
+	if m.ID != id || id == "" {
+		return fmt.Errorf("member record of instance %.60q names instance %.60q; delete it or correct its key", id, m.ID)
+	}
+	if err := validateAddr(m.Addr); err != nil {
+		return fmt.Errorf("member record of instance %.60q: address: %w", id, err)
+	}
+	if m.ForwardAddr != "" {
+		if err := validateAddr(m.ForwardAddr); err != nil {
+			return fmt.Errorf("member record of instance %.60q: address for statements: %w", id, err)
+		}
+	}
+	if m.Capacity < 0 || m.Capacity > maxCapacity {
+		return fmt.Errorf("member record of instance %.60q: capacity %g is not from 0 to %d cores", id, m.Capacity, maxCapacity)
+	}
+	return nil
+}
+
+// validateAddr checks the form of a host:port.
+func validateAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err == nil && host == "" {
+		err = errors.New("the host is missing")
+	}
+	if err == nil {
+		if n, portErr := strconv.ParseUint(port, 10, 16); portErr != nil || n == 0 {
+			err = fmt.Errorf("port %.60q is not from 1 to %d", port, math.MaxUint16)
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("%.60q is not a host and port: %.100s", addr, err)
+	}
+	return nil
+}
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -223,7 +223,11 @@
 				continue
 			}
 			var l catalog.Leadership
-			if err := decodeFleetRow(r, &l); err != nil {
+			err := decodeFleetRow(r, &l)
+			if err == nil {
+				err = l.Validate(fleet.GroupID(key[len(leaderPrefix):]))
+			}
+			if err != nil {
 				c.refuse(t, r, "control: invalid leadership record ignored", "fleet_rows_ignored", err)
 				continue
 			}
@@ -233,7 +237,11 @@
 			known, ok := rowsBefore[key]
 			if !ok || known.version != r.Version {
 				known = memberRow{version: r.Version}
-				if err := decodeFleetRow(r, &known.member); err != nil {
+				err := decodeFleetRow(r, &known.member)
+				if err == nil {
+					err = known.member.Validate(fleet.InstanceID(key[len(memberPrefix):]))
+				}
+				if err != nil {
 					c.refuse(t, r, "control: invalid member record ignored", "fleet_rows_ignored", err)
 					continue
 				}
--- a/edge/control/tables_test.go
+++ b/edge/control/tables_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -157,6 +158,74 @@
 	assert.Equal(t, f.leadership("bookings").Primary, fleet.EndpointID("e1"))
 }
 
+// Guards against a member that is taken for another one, or cannot be called, because of an odd record.
+func TestOddMemberRecordIsRefused(t *testing.T) {
+	f := newTablesTest(t)
+	good := catalog.Member{ID: "a", DataCentre: "z1", Addr: "127.0.0.1:1", ForwardAddr: "127.0.0.1:3", Capacity: 2}
+	f.putJSON("vanillahinge", memberPrefix+"a", good)
+	f.putJSON("vanillahinge", memberPrefix+"self", f.Self)
+	odd := map[string]string{
+		"of another member": `{"ID":"a","Addr":"127.0.0.1:9"}`, "without id": `{"Addr":"127.0.0.1:9"}`, "without address": `{"ID":"odd"}`,
+		"port 70000": `{"ID":"odd","Addr":"127.0.0.1:70000"}`, "port 0": `{"ID":"odd","Addr":"127.0.0.1:0"}`, "no host": `{"ID":"odd","Addr":":80"}`,
+		"forward port": `{"ID":"odd","Addr":"127.0.0.1:9","ForwardAddr":"127.0.0.1:-1"}`, "capacity 1e999": `{"ID":"odd","Addr":"127.0.0.1:9","Capacity":1e999}`,
+		"capacity 1e308": `{"ID":"odd","Addr":"127.0.0.1:9","Capacity":1e308}`, "capacity -1": `{"ID":"odd","Addr":"127.0.0.1:9","Capacity":-1}`,
+		"nested": strings.Repeat("[", 1<<16), "text": `"odd"`, "null": "null", "long": `"` + strings.Repeat("x", 1<<20),
+	}
+	for name, value := range odd {
+		t.Run(name, func(t *testing.T) {
+			f.put("vanillahinge", memberPrefix+"odd", []byte(value))
+			assert.DeepEqual(t, f.members, map[fleet.InstanceID]catalog.Member{"a": good, "self": f.Self})
+			assert.Equal(t, len(f.peers), 1)
+			assert.Equal(t, f.peers["a"].Addr, good.Addr)
+			f.put("vanillahinge", memberPrefix+"odd", nil)
+		})
+	}
+	assert.Equal(t, f.metric("fleet_rows_ignored"), len(odd))
+	f.put("vanillahinge", memberPrefix+"a", []byte(odd["port 0"]))
+	assert.Equal(t, len(f.peers), 0, "a member whose record turns bad has left")
+	f.putJSON("vanillahinge", memberPrefix+"a", good)
+	assert.Equal(t, len(f.peers), 1)
+}
+
+// Guards against a group whose primary is given up because of an odd record, of its own or of another group.
+func TestOddLeadershipRecordIsRefused(t *testing.T) {
+	f := newTablesTest(t)
+	good := catalog.Leadership{Group: "bookings", Term: 3, Primary: "e1", Settled: true, Users: []fleet.InstanceID{"a", "self"}}
+	f.putJSON("vanillahinge", leaderPrefix+"bookings", good)
+	good.Version = f.version
+	change := func(f func(*catalog.Leadership)) string {
+		l := good
+		l.Users = slices.Clone(good.Users)
+		f(&l)
+		raw, err := json.Marshal(l)
+		assert.NilError(t, err)
+		return string(raw)
+	}
+	for name, value := range map[string]string{
+		"term 2^64-1": change(func(l *catalog.Leadership) { l.Term = 1<<64 - 1 }), "term 1e999": `{"Group":"bookings","Term":1e999}`,
+		"negative term": `{"Group":"bookings","Term":-1}`, "users not in order": change(func(l *catalog.Leadership) { l.Users = []fleet.InstanceID{"self", "a"} }),
+		"user twice":              change(func(l *catalog.Leadership) { l.Users = []fleet.InstanceID{"a", "a", "self"} }),
+		"removed not in order":    change(func(l *catalog.Leadership) { l.Removed = []fleet.InstanceID{"self", "a"} }),
+		"settled without primary": change(func(l *catalog.Leadership) { l.Primary = "" }),
+		"of another group":        change(func(l *catalog.Leadership) { l.Group = "other" }), "without group": change(func(l *catalog.Leadership) { l.Group = "" }),
+		"nested": strings.Repeat("[", 1<<16), "null": "null", "empty": "{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.put("vanillahinge", leaderPrefix+"bookings", []byte(value))
+			assert.DeepEqual(t, f.leadership("bookings"), good)
+		})
+		t.Run("other group, "+name, func(t *testing.T) {
+			if value = strings.Replace(value, `"other"`, `"bookings"`, 1); name != "of another group" {
+				value = strings.Replace(value, `"Group":""`, `"Group":"bookings"`, 1)
+			}
+			f.put("vanillahinge", leaderPrefix+"flights", []byte(value))
+			assert.DeepEqual(t, f.leadership("bookings"), good)
+		})
+	}
+	f.putJSON("vanillahinge", leaderPrefix+"bookings", catalog.Leadership{Group: "bookings", Term: 4, Former: "e1", Holder: "a", Users: good.Users})
+	assert.Equal(t, f.leadership("bookings").Term, fleet.Term(4), "the next valid record counts")
+}
+
 // Guards against copies of a table that never agree because a row of it holds odd bytes.
 func TestOddRowsTravelBetweenInstances(t *testing.T) {
 	from, to := newTablesTest(t), newTablesTest(t)
