tablestore: one odd entry no longer hides the list of instances

Cause: as in platform/, the list was decoded at once, and one entry of another writer with another type, very deep nesting or no JSON failed all of it. An entry with a port out of range, or without an id, was taken for an instance and counted as a witness.

Before (TestOddInstanceEntryLeavesTheOthersReadable):

client_test.go:244: ... GET /v1/instances: malformed response: json: cannot unmarshal number into Go struct field InstanceEntry.id ...

The entries are read one by one and checked for id and peer address; those that can't be used are marked with the reason, logged and counted once (`control.invalid_instances`), and left out until they are valid. An instance whose entry turns bad counts as gone from the list.

--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -77,11 +77,11 @@
 }
 
 // Counts holds totals since the start of the process.
-type Counts struct{ Events, DroppedStatuses, Polls, PollErrors, Pulls int64 }
+type Counts struct{ Events, DroppedStatuses, Polls, PollErrors, Pulls, InvalidInstances int64 }
 
 // Counts returns the totals.
 func (c *Controller) Counts() Counts {
-	return Counts{c.events.Load(), c.droppedStatuses.Load(), c.polls.Load(), c.pollErrors.Load(), c.pulls.Load()}
+	return Counts{c.events.Load(), c.droppedStatuses.Load(), c.polls.Load(), c.pollErrors.Load(), c.pulls.Load(), c.invalidInstances.Load()}
 }
 
 // Intervals, timeouts and limits of the control goroutine.
@@ -142,9 +142,9 @@
 	cancel    context.CancelFunc
 	workers   sync.WaitGroup
 
-	nonces                           atomic.Uint64
-	polls, pollErrors, pulls, events atomic.Int64
-	droppedStatuses                  atomic.Int64
+	nonces                                             atomic.Uint64
+	polls, pollErrors, pulls, events, invalidInstances atomic.Int64
+	droppedStatuses                                    atomic.Int64
 	// loggedRefusals holds the digests of rejected withdrawals that have been
 	// logged.
 	loggedRefusals sync.Map
@@ -164,6 +164,9 @@
 	// comes from, by digest.
 	withdrawnKeys map[fleet.KeyID]bool
 	withdrawals   map[string][]byte
+	// refusedInstances holds the faults of the entries in the platform's list of
+	// instances that cannot be used.
+	refusedInstances map[string]bool
 	// withdrawalsInRow holds the digests of the envelopes that the table's row is
 	// known to contain.
 	withdrawalsInRow map[string]bool
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/vanillahinge/vanillahinge/bundle"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
@@ -416,3 +417,24 @@
 	applyStatus(s)
 	f.eventually("younger age", time.Second, func() bool { return publishedStatusAt().After(before) })
 }
+
+// Guards against a fleet that counts an odd entry of the list of instances as a witness.
+func TestOddInstanceEntryIsNoWitness(t *testing.T) {
+	f := newFixture(t, "i1", "i2", "i3")
+	f.store.mu.Lock()
+	f.store.listed = append(f.store.listed, tablestore.InstanceEntry{ID: "odd", Invalid: "registry: port is not from 1 to 65535"},
+		tablestore.InstanceEntry{Invalid: "registry: the id is missing"}, tablestore.InstanceEntry{Invalid: "registry: the id is missing"})
+	f.store.mu.Unlock()
+	c := f.controllers["i1"]
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.Counts().InvalidInstances < 2 {
+			return poll.Continue("the entries have not been read")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	time.Sleep(2 * pollInterval)
+	assert.Equal(t, c.Counts().InvalidInstances, int64(2), "each fault is counted once")
+	listed := make(chan int, 1)
+	c.post(func(time.Duration) { listed <- len(c.instances) })
+	assert.Equal(t, <-listed, 3)
+}
--- a/daemon/control/table.go
+++ b/daemon/control/table.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -181,6 +182,7 @@
 
 // applyInstanceList processes the platform's list of instances.
 func (c *Controller) applyInstanceList(now time.Duration, l []tablestore.InstanceEntry) {
+	l = c.refuseInvalidInstances(l)
 	if len(l) == 0 {
 		// The first registration has not arrived yet. An empty list has no
 		// witnesses, and would delay every acceptance because the lists of the
@@ -203,6 +205,22 @@
 	}
 }
 
+// refuseInvalidInstances returns the entries that can be used. The others are logged and
+// counted once, until their fault changes or they have left the list.
+func (c *Controller) refuseInvalidInstances(l []tablestore.InstanceEntry) []tablestore.InstanceEntry {
+	refused := map[string]bool{}
+	valid := slices.DeleteFunc(slices.Clone(l), func(e tablestore.InstanceEntry) bool {
+		if e.Invalid != "" && !c.refusedInstances[e.Invalid] && !refused[e.Invalid] {
+			c.invalidInstances.Add(1)
+			c.cfg.Log.Warn("invalid entry of the list of instances ignored", "error", e.Invalid)
+		}
+		refused[e.Invalid] = e.Invalid != ""
+		return e.Invalid != ""
+	})
+	c.refusedInstances = refused
+	return valid
+}
+
 // stepSlot applies an event to core/slot and performs the resulting actions.
 func (c *Controller) stepSlot(now time.Duration, e slot.Event) {
 	if c.slotCore == nil {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -19,6 +19,7 @@
 	register("control.dropped_statuses", func() int64 { return d.control.Counts().DroppedStatuses })
 	register("control.polls", func() int64 { return d.control.Counts().Polls })
 	register("control.poll_errors", func() int64 { return d.control.Counts().PollErrors })
+	register("control.invalid_instances", func() int64 { return d.control.Counts().InvalidInstances })
 	register("control.pulls", func() int64 { return d.control.Counts().Pulls })
 	register("control.bundle_version", func() int64 { return int64(d.control.Snapshots().Load().BundleVersion) })
 	register("control.fresh_ms", func() int64 {
--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -7,12 +7,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/jsonstream"
 )
 
 // DefaultTimeout is the timeout of a call if the client is given none. The
@@ -161,10 +164,60 @@
 
 type instanceRegistry struct{ c *Client }
 
+// maxEntryBytes limits the size of an entry of the registry. A usual one has 150 bytes.
+const maxEntryBytes = 64 << 10
+
 func (l instanceRegistry) List(ctx context.Context) ([]InstanceEntry, error) {
+	const path = "/v1/instances"
+	data, err := l.c.send(ctx, http.MethodGet, path, nil, maxResponseBytes)
+	if err != nil {
+		return nil, err
+	}
 	var out []InstanceEntry
-	err := l.c.callJSON(ctx, http.MethodGet, "/v1/instances", nil, &out)
-	return out, err
+	j := jsonstream.NewReader(bytes.NewReader(data), len(data))
+	err = j.List(func() error {
+		raw, err := j.Value(maxEntryBytes)
+		out = append(out, decodeInstance(raw))
+		return err
+	})
+	if err == nil {
+		err = j.End()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: GET %s: malformed response: %w", ErrUnavailable, path, err)
+	}
+	return out, nil
+}
+
+// decodeInstance decodes and validates an entry of the registry, nil if it is too long.
+func decodeInstance(raw []byte) InstanceEntry {
+	var e InstanceEntry
+	err := fmt.Errorf("longer than %d bytes", maxEntryBytes)
+	if raw != nil {
+		err = json.Unmarshal(raw, &e)
+	}
+	if err == nil {
+		err = e.validate()
+	}
+	if err != nil {
+		return InstanceEntry{ID: e.ID, Invalid: fmt.Sprintf("registry: entry of instance %.60q: %.200s; the instance has to register again", e.ID, err)}
+	}
+	return e
+}
+
+// validate reports why an entry cannot be that of an instance.
+func (e InstanceEntry) validate() error {
+	if e.ID == "" {
+		return errors.New("the id is missing")
+	}
+	_, port, err := net.SplitHostPort(e.PeerAddr)
+	if err != nil {
+		return fmt.Errorf("peer address %.60q is not a host and port", e.PeerAddr)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("peer address %.60q: port is not from 1 to %d", e.PeerAddr, math.MaxUint16)
+	}
+	return nil
 }
 
 func (l instanceRegistry) Register(ctx context.Context, e InstanceEntry) error {
--- a/tablestore/client_test.go
+++ b/tablestore/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -217,3 +218,38 @@
 	o.dropPutResponses = 1000
 	assert.ErrorIs(t, PutObjectWithRetry(ctx, o, "k", []byte("a")), ErrUnavailable)
 }
+
+// Guards against an instance that stops following the list of instances because of one odd entry.
+func TestOddInstanceEntryLeavesTheOthersReadable(t *testing.T) {
+	const first = `{"id":"entry-1","data_centre":"dc1","peer_addr":"127.0.0.1:6433","ops_addr":"127.0.0.1:6434","leaving":true}`
+	const last = `{"id":"entry-2","data_centre":"dc1","peer_addr":"[::1]:6433","ops_addr":"","leaving":false}`
+	nested := func(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+	body := ""
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := io.WriteString(w, body)
+		assert.Check(t, err)
+	}))
+	defer srv.Close()
+	c := NewClient(strings.TrimPrefix(srv.URL, "http://"), "entry-1", time.Second)
+	defer c.Close()
+	for name, odd := range map[string]string{
+		"nested": nested(1 << 17), "nested id": `{"id":` + nested(1<<17) + `}`, "number": "7", "null": "null", "text": `"odd"`, "empty": "{}",
+		"long": `{"id":"odd","ops_addr":"` + strings.Repeat("x", 1<<20) + `"}`, "no JSON": "tru", "id of another type": `{"id":7,"peer_addr":"127.0.0.1:6433"}`,
+		"port 70000": `{"id":"odd","peer_addr":"127.0.0.1:70000"}`, "port 0": `{"id":"odd","peer_addr":"127.0.0.1:0"}`, "negative port": `{"id":"odd","peer_addr":"127.0.0.1:-1"}`,
+		"port 1e999": `{"id":"odd","peer_addr":"127.0.0.1:1e999"}`, "no port": `{"id":"odd","peer_addr":"127.0.0.1"}`, "port as a number": `{"id":"odd","peer_addr":6433}`,
+		"leaving 1e999": `{"id":"odd","peer_addr":"127.0.0.1:6433","leaving":1e999}`, "no separator": `{"id" "odd"}`,
+	} {
+		body = "[" + first + "," + odd + "," + last + "]"
+		got, err := c.InstanceRegistry().List(context.Background())
+		assert.NilError(t, err, name)
+		assert.Equal(t, len(got), 3, name)
+		assert.Equal(t, got[0], InstanceEntry{ID: "entry-1", DataCentre: "dc1", PeerAddr: "127.0.0.1:6433", OpsAddr: "127.0.0.1:6434", Leaving: true}, name)
+		assert.Equal(t, got[2], InstanceEntry{ID: "entry-2", DataCentre: "dc1", PeerAddr: "[::1]:6433"}, name)
+		assert.Assert(t, got[1].Invalid != "" && len(got[1].Invalid) < 500 && got[1].PeerAddr == "", "%s: %+v", name, got[1])
+	}
+	for _, cut := range []string{"", "[", "[" + first, "{}", "[" + first + "," + `{"id":"x`} {
+		body = cut
+		_, err := c.InstanceRegistry().List(context.Background())
+		assert.ErrorIs(t, err, ErrUnavailable, cut)
+	}
+}
--- a/tablestore/tablestore.go
+++ b/tablestore/tablestore.go
@@ -46,6 +46,9 @@
 	// OpsAddr is the host:port that serves the operators' HTTP API.
 	OpsAddr string `json:"ops_addr"`
 	Leaving bool   `json:"leaving"`
+	// Invalid says why an entry of the list cannot be used, if it cannot. The other
+	// fields are empty then, except ID if it is known.
+	Invalid string `json:"-"`
 }
 
 // Errors returned for calls to the platform service.
@@ -79,6 +82,7 @@
 // InstanceRegistry is the platform's list of instances. It is eventually
 // consistent: a registration may be missing from List for a while.
 type InstanceRegistry interface {
+	// List returns the entries. Those that cannot be used are marked as Invalid.
 	List(ctx context.Context) ([]InstanceEntry, error)
 	Register(ctx context.Context, l InstanceEntry) error
 }
