core/jsonstream: tests, and a word or number at the end of a text

A text that ends with a number or word, such as `null` for an empty list, was read as one that is cut: the test failed with "EOF". No response of the store ends so. FuzzList compares the reader with encoding/json.

--- a/core/jsonstream/jsonstream.go
+++ b/core/jsonstream/jsonstream.go
@@ -124,8 +124,12 @@
 			text = append(text, part...)
 		}
 	}
-	for start := j.depth; ; {
+	start := j.depth
+	for read := false; ; read = true {
 		b, err := j.r.ReadByte()
+		if errors.Is(err, io.EOF) && read && j.depth == start {
+			break // a number or word at the end of the text
+		}
 		if err != nil {
 			return nil, err
 		}
