--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -378,3 +378,28 @@
 		_, _ = ParseVerifier(string(in))
 	})
 }
+
+// Guards against a process that ends over a document or envelope with very deep nesting, a too large number or a port out of range.
+func TestOddEndpointInDocumentIsRefused(t *testing.T) {
+	good := exampleYAML(t)
+	nested := strings.Repeat("[", 1<<12) + strings.Repeat("]", 1<<12)
+	for name, c := range map[string]struct{ old, new string }{
+		"port 70000": {"127.0.0.1:6001", "127.0.0.1:70000"}, "port 0": {"127.0.0.1:6001", "127.0.0.1:0"}, "negative port": {"127.0.0.1:6001", "127.0.0.1:-1"},
+		"slots 10^18": {"slots: 3,", "slots: 1000000000000000000,"}, "slots 1e999": {"slots: 3,", "slots: 1e999,"}, "slots -1": {"slots: 3,", "slots: -1,"},
+		"slots 10^40":        {"slots: 3,", "slots: 1" + strings.Repeat("0", 40) + ","},
+		"id with line break": {"{id: g1-a,", `{id: "g1-a\r\nx",`}, "id twice": {"{id: g1-a,", "{id: g1-a, id: g1-z,"},
+		"nested slots": {"slots: 3,", "slots: " + nested + ","}, "nested id": {"{id: g1-a,", "{id: " + nested + ","},
+	} {
+		in := strings.Replace(good, c.old, c.new, 1)
+		assert.Assert(t, in != good, name)
+		_, _, err := Decode("bundle.yaml", []byte(in))
+		assert.Assert(t, err != nil, name)
+		assert.Assert(t, len(err.Error()) < 2000, "%s: error of %d bytes", name, len(err.Error()))
+	}
+	for _, data := range []string{nested, `{"kind":"bundle","document":` + nested + `}`, `{"kind":` + strings.Repeat(`{"a":`, 1<<16)} {
+		_, err := DecodeEnvelope([]byte(data))
+		assert.Assert(t, err != nil)
+		_, err = Open([]byte(data), nil)
+		assert.Assert(t, err != nil)
+	}
+}
--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -631,3 +631,78 @@
 		assert.Assert(t, strings.HasPrefix(line, "ERR BUSY"), "connection %d: %q", i, line)
 	}
 }
+
+// Guards against an instance that ends, stops following the tables or uses no endpoint because of odd rows of another writer.
+func TestTablesAreFollowedPastOddRows(t *testing.T) {
+	f := newTestFleet(t)
+	entry := func(change map[string]any) []byte {
+		e := map[string]any{"service": "bookings", "addr": f.endpoints[1].Addr, "zone": "z1", "version": "v1", "slots": 3, "state": "ready",
+			"cold_ms": 0, "db_role": "primary", "seq": 1}
+		for k, v := range change {
+			e[k] = v
+		}
+		raw, err := json.Marshal(e)
+		assert.NilError(t, err)
+		return raw
+	}
+	odd := map[string][]byte{
+		"nested": []byte(strings.Repeat("[", 1<<16)), "binary": []byte("\x00\xff\xfe"), "empty": nil, "long": []byte(`"` + strings.Repeat("x", 2<<20) + `"`),
+		"number": []byte(strings.Replace(string(entry(nil)), `"slots":3`, `"slots":1e999`, 1)), "slots": entry(map[string]any{"slots": int64(1e18)}),
+		"port": entry(map[string]any{"addr": "127.0.0.1:70000"}), "negative": entry(map[string]any{"addr": "127.0.0.1:-1"}),
+		"state": entry(map[string]any{"state": "asleep"}), "": entry(nil), "line\r\nQUERY - PUT roof x": entry(nil),
+		"blank": entry(map[string]any{"service": "bookings x"}), "cold": entry(map[string]any{"cold_ms": int64(1e16)}),
+	}
+	put := func(table string) {
+		for key, value := range odd {
+			f.store.PutRaw(table, key, value)
+		}
+	}
+	put("servers")
+	a, _ := f.startInstance("edge-1", true)
+	b, _ := f.startInstance("edge-2", true)
+	for _, table := range []string{"servers", "op", "vanillahinge"} {
+		put(table)
+	}
+	f.store.PutPart("servers", "p7", f.endpoints[0].ID, entry(map[string]any{"addr": "127.0.0.1:1"}))
+	f.store.PutRaw("vanillahinge", "member/odd", []byte(`{"ID":"edge-1","Addr":"127.0.0.1:70000"}`))
+	f.store.PutRaw("vanillahinge", "leader/odd", []byte(`{"Group":"bookings","Term":18446744073709551615,"Settled":true}`))
+
+	used := func(a *app) string {
+		out := []string{}
+		for _, e := range a.control.View().Endpoints["bookings"] {
+			out = append(out, fmt.Sprint(e.ID, " ", e.Addr, " ", e.Leaving))
+		}
+		return strings.Join(out, ",")
+	}
+	want := func(leaving bool, es ...*standin.Endpoint) string {
+		out := []string{}
+		for _, e := range es {
+			out = append(out, fmt.Sprint(e.ID, " ", e.Addr, " ", leaving && e == f.endpoints[2]))
+		}
+		return strings.Join(out, ",")
+	}
+	f.endpoints[2].Drain()
+	f.config["limits"] = map[string]any{"tx_idle_ms": 700}
+	f.publish()
+	for _, x := range []*app{a, b} {
+		f.waitUntil(5*time.Second, func() bool {
+			return used(x) == want(true, f.endpoints...) && x.control.View().Catalog.TransactionIdleTimeout == 700*time.Millisecond
+		})
+		assert.Equal(t, x.control.View().Leaders["bookings"].Primary, fleet.EndpointID(f.endpoints[0].ID))
+	}
+	c, hello := dial(t, a, "latest", "key-acme")
+	assert.Equal(t, hello, "READY I -")
+	assert.Assert(t, succeeded(c.query("PUT roof booked")))
+	assert.Assert(t, succeeded(c.query("FETCH roof")))
+
+	// An endpoint whose entry turns odd is used on for a while, and again after its next valid entry.
+	f.store.PutRaw("servers", f.endpoints[1].ID, odd["nested"])
+	for _, x := range []*app{a, b} {
+		f.waitUntil(10*time.Second, func() bool { return used(x) == want(true, f.endpoints[0], f.endpoints[2]) })
+	}
+	f.endpoints[1].Register()
+	for _, x := range []*app{a, b} {
+		f.waitUntil(5*time.Second, func() bool { return used(x) == want(true, f.endpoints...) })
+	}
+	assert.Assert(t, succeeded(c.query("PUT roof again")))
+}
