--- a/core/kvstore/kvstore.go
+++ b/core/kvstore/kvstore.go
@@ -28,6 +28,9 @@
 // tokens keep them.
 const versionBits = 40
 
+// MaxCount is the highest count of a store.
+const MaxCount = 1<<versionBits - 1
+
 // Version returns the version with the given count in an era of the store. A store that
 // comes back from a copy begins an era: what it acknowledged since the copy is gone, and
 // its counts are given out again. Versions are ordered by era first.
@@ -37,7 +40,7 @@
 func Era(version uint64) uint64 { return version >> versionBits }
 
 // Count returns the store's count in a version.
-func Count(version uint64) uint64 { return version & (1<<versionBits - 1) }
+func Count(version uint64) uint64 { return version & MaxCount }
 
 // Row is a row of a table. Versions come from a single counter for the whole
 // store, so that of two changes the later one has the higher version. The version of a
@@ -48,6 +51,9 @@
 	Value   []byte
 	Version uint64
 	Deleted bool
+	// Unreadable says why the content of the row could not be decoded, if it could
+	// not. Value is nil then. The row is in the table all the same.
+	Unreadable string `json:",omitempty"`
 }
 
 // Transaction is a conditional write of several rows, applied atomically.
