takeover: an endpoint that leads an older term has not been promoted by this change

Found on review, on records from before the term of the primary was kept: a primary that had been cut off since two changes counted as promoted and was chosen before the replicas, so acknowledged commits would have been lost. An endpoint has taken over only if no candidate knows a higher term, and where the record does not tell the former term the candidates' terms count again, as before. TestFormerPrimaryHasNotTakenOver takes the term from another candidate again.

The only user of a primary is waited for (TestOnlyUserIsWaitedFor): nobody else extends its permission, so without this a group whose only user was killed for good had no primary any more, now that a refused connection is no confirmation.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -71,6 +71,9 @@
 		return claimed, true
 	case len(at) == len(members):
 		return at[len(at)-1], true
+	case len(members) == 1:
+		// Nobody else extends the permission of an only member.
+		return claimed + lease.Duration + effectMargin, true
 	case len(at) < need:
 		return 0, false
 	}
@@ -102,9 +105,11 @@
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
+	newest := HighestTerm(0, candidates)
 	return slices.MaxFunc(candidates, func(a, b Candidate) int {
+		// An endpoint that leads an older term than another one knows was cut off.
 		return cmp.Or(
-			compareBool(a.TakenOver, b.TakenOver),
+			compareBool(a.TakenOver && a.Term == newest, b.TakenOver && b.Term == newest),
 			compareBool(!a.Leaving, !b.Leaving),
 			compareBool(!a.Suspect, !b.Suspect),
 			cmp.Compare(a.Received.Term, b.Received.Term),
@@ -120,6 +125,24 @@
 // off may still report itself as primary at its old term.
 func HasTakenOver(s stmt.EndpointState, before fleet.Term) bool { return s.Primary && s.Term > before }
 
+// HighestTerm returns the highest of known and the terms that the candidates know.
+func HighestTerm(known fleet.Term, candidates []Candidate) fleet.Term {
+	for _, c := range candidates {
+		known = max(known, c.Term)
+	}
+	return known
+}
+
+// TermBefore returns the term above which a chosen candidate has taken over, given the term
+// before the change. If the record does not tell that term, the candidates may know it,
+// unless the chosen one has taken over already.
+func TermBefore(former fleet.Term, record catalog.Leadership, chosen Candidate, candidates []Candidate) fleet.Term {
+	if record.PrimaryTerm > 0 || chosen.TakenOver && chosen.Term == HighestTerm(0, candidates) {
+		return former
+	}
+	return HighestTerm(former, candidates)
+}
+
 // FormerTerm returns the term before a change: that with which the last primary took over,
 // or, if there has been no change, the newest one that the primary has reported.
 func FormerTerm(record catalog.Leadership, reported fleet.Term) fleet.Term {
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -16,7 +16,10 @@
 // If that were taken for the result of a promotion, the writes that it then commits
 // would be lost (found in run hunt-cf85-47).
 func TestFormerPrimaryHasNotTakenOver(t *testing.T) {
-	before := FormerTerm(catalog.Leadership{PrimaryTerm: 2}, 1)
+	candidates := []Candidate{{Endpoint: "former", Term: 1, TakenOver: true, Suspect: true}, {Endpoint: "other", Term: 2}}
+	best, _ := Choose(candidates)
+	assert.Equal(t, best.Endpoint, fleet.EndpointID("other"))
+	before := TermBefore(1, catalog.Leadership{}, candidates[0], candidates)
 	assert.Equal(t, before, fleet.Term(2))
 	assert.Assert(t, !HasTakenOver(stmt.EndpointState{Primary: true, Term: 1}, before))
 	assert.Assert(t, !HasTakenOver(stmt.EndpointState{Primary: true, Term: 2}, before))
@@ -85,3 +88,10 @@
 	}
 	assert.Assert(t, HolderTimeout+500*time.Millisecond < AbandonedAfter, "a holder must stop before another instance takes over")
 }
+
+// Guards against a group without a primary for good after its only user was lost.
+func TestOnlyUserIsWaitedFor(t *testing.T) {
+	at, ok := EffectiveAt(time.Second, []Confirmation{{Member: "a"}})
+	assert.Assert(t, ok)
+	assert.Equal(t, at, time.Second+lease.Duration+effectMargin)
+}
