control: an instance that has left is marked, and its next process registers first

(2) A holder that stopped was marked as left while its own change went on, and a second holder began. (3) A write of the former process that the store applied late could hit the next process, whose member record was the same. (5) A user that knew a later record confirmed the earlier claim. (6) DEMOTE named the term of the claims, which may be that of the primary itself; it is above the primary's now where the record tells that.

The member record is written anew by each process (Incarnation) and is the only thing that says that an instance has left; the list of users is not written at a stop any more. A process whose own record is not in its copy of the table has no permission, claims nothing and is no root. An instance that has left proves nothing to others.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -206,14 +206,6 @@
 	return l
 }
 
-// WithoutUser returns the record without one of its users.
-func (l Leadership) WithoutUser(id fleet.InstanceID) Leadership {
-	same := func(u fleet.InstanceID) bool { return u == id }
-	l.Users = slices.DeleteFunc(slices.Clone(l.Users), same)
-	l.Removed = slices.DeleteFunc(slices.Clone(l.Removed), same)
-	return l
-}
-
 // Member is an instance of the fleet.
 type Member struct {
 	ID         fleet.InstanceID
@@ -223,7 +215,8 @@
 	Addr, ForwardAddr string
 	// Capacity is the processor share of the instance's machine, in cores.
 	Capacity float64
-	// Left is set when the instance's last process has stopped as asked. The next one
-	// registers again before it acts for the fleet.
-	Left bool `json:",omitempty"`
+	// Incarnation identifies the process of the instance. Left is set when that process has
+	// stopped as asked; the next one registers itself before it acts for the fleet.
+	Incarnation int64 `json:",omitempty"`
+	Left        bool  `json:",omitempty"`
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -15,8 +15,9 @@
 //
 // The list of members changes by one addition at a time, and only once a majority of the
 // list before has acknowledged it; a member is removed only after a majority has
-// acknowledged that it is about to be, or by itself after it has stopped sending and
-// responding. So a majority of a list that is out of date has a
+// acknowledged that it is about to be. A member that has left the fleet counts as one that
+// has acknowledged: it does not send or respond any more, and its next process has no
+// permission before it knows what was written until then. So a majority of a list that is out of date has a
 // member in common with one that knows a later list, and cannot extend a lease any more.
 //
 // Proofs from before the start of the process do not count, and a member counts
--- a/edge/app/app.go
+++ b/edge/app/app.go
@@ -136,7 +136,7 @@
 	limiter := control.NewLimiter(clk, metrics, s.FirstStart, s.Quota)
 	a.control = control.New(control.Config{
 		Self: catalog.Member{ID: s.Instance, DataCentre: s.DataCentre, Addr: s.PeerAddr,
-			ForwardAddr: s.ForwardAddr, Capacity: s.Capacity},
+			ForwardAddr: s.ForwardAddr, Capacity: s.Capacity, Incarnation: time.Now().UnixNano()},
 		Clock: clk, Store: a.store, Promoter: a.promoter, Dialer: dialer{}, Pool: a.pool, Limiter: limiter, Log: log, Metrics: metrics,
 		Schema: control.Schema{OperatorTable: platform.OperatorTable, EndpointTable: platform.EndpointTable, FleetTable: platform.FleetTable,
 			ConfigKey: platform.ConfigKey, DecodeCatalog: platform.DecodeCatalog, DecodeEndpoint: platform.DecodeEndpoint,
@@ -304,7 +304,7 @@
 	c.a.forwardServer.Leave()
 	c.a.engine.Shutdown(ctx, within)
 	c.a.forwardServer.Drain(ctx, transactionDeadline)
-	c.a.control.Deregister(ctx)
+	c.a.control.Deregister()
 	if l := c.l.Load(); l != nil {
 		return c.drainQueue(l)
 	}
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -128,6 +128,9 @@
 
 	record    catalog.Leadership
 	claimedAt time.Duration
+	// calledAt is when the call that stored the claim began. The time of the holder counts
+	// from then: it may have read the answer late.
+	calledAt time.Duration
 }
 
 // encodeRow returns the row of the fleet's own table that stores a record.
@@ -141,7 +144,7 @@
 func (ch *primaryChange) claim(ctx context.Context) bool {
 	c, old := ch.ctl, ch.old
 	l := catalog.Leadership{
-		Group: old.Group, Version: old.Version, Term: max(old.Term, c.Pool.Term(old.Group)) + 1, Former: old.Primary,
+		Group: old.Group, Version: old.Version, Term: max(old.Term, old.PrimaryTerm, c.Pool.Term(old.Group)) + 1, Former: old.Primary,
 		PrimaryTerm: old.PrimaryTerm, Holder: c.Self.ID, Planned: ch.cause == takeover.Leaving || ch.cause == takeover.Gone, Users: old.Users, Removed: old.Removed,
 	}
 	if !old.Settled {
@@ -156,6 +159,7 @@
 		return false
 	}
 	call, cancel := context.WithTimeout(ctx, claimTimeout)
+	ch.calledAt = c.Clock.Now()
 	version, err := c.apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
 	cancel()
 	switch {
@@ -211,7 +215,7 @@
 
 // timeLeft returns for how long this instance may still act on its claim.
 func (ch *primaryChange) timeLeft() time.Duration {
-	return ch.claimedAt + takeover.HolderTimeout - ch.ctl.Clock.Now()
+	return ch.calledAt + takeover.HolderTimeout - ch.ctl.Clock.Now()
 }
 
 // awaitOldPrimaryUnused waits until no instance sends statements to the old primary.
@@ -283,20 +287,25 @@
 	for ch.claimValid(ctx) {
 		if id == c.Self.ID {
 			res, err := c.Confirm(ctx, &peerrpc.ConfirmRequest{Record: ch.record})
-			if err == nil && res.Version >= ch.record.Order() {
+			if err == nil && res.Version == ch.record.Order() {
 				confirmed(c.Clock.Now())
 				return
 			}
 			continue
 		}
 		var p *peer
-		if c.runInLoop(ctx, func() { p = c.peers[id] }) != nil || p == nil {
+		left := false
+		if c.runInLoop(ctx, func() { p, left = c.peers[id], c.hasLeft(id, ch.record.Version) }) != nil || p == nil {
+			return
+		}
+		if left {
+			confirmed(c.Clock.Now())
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, confirmTimeout)
 		res, err := p.client.Confirm(call, &peerrpc.ConfirmRequest{Record: ch.record})
 		cancel()
-		if err == nil && res.Version >= ch.record.Order() {
+		if err == nil && res.Version == ch.record.Order() {
 			confirmed(c.Clock.Now())
 			return
 		}
@@ -370,6 +379,7 @@
 	candidates := ch.collectPositions(ctx, replicas, ask, formerPosition, previousTerm)
 	for len(candidates) > 0 && ch.claimValid(ctx) {
 		best, _ := takeover.Choose(candidates)
+		previousTerm := takeover.TermBefore(previousTerm, ch.record, best, candidates)
 		call, cancel := context.WithTimeout(ctx, min(promoteTimeout, ch.timeLeft()))
 		err := c.Promoter.Promote(call, ch.old.Group, best.Endpoint, ch.record.Version, func() bool { return ch.timeLeft() > 0 })
 		cancel()
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -463,7 +463,7 @@
 	for id, g := range c.groups {
 		before := c.permissions[id]
 		next := before.Next(c.Self.ID, g.record, g.changedOrder, c.leaseExpiry(g))
-		if c.deregistered {
+		if c.deregistered || !c.registered() {
 			next = lease.Permission{}
 		}
 		if next != before {
@@ -517,7 +517,7 @@
 			c.checkHolder(ctx, now, g)
 		}
 		cause := takeover.ReplacementCause(s)
-		if cause == takeover.None || !c.registered() || cause == takeover.Unreachable && now < g.changeStartedAt+reachRetryInterval {
+		if cause == takeover.None || c.leaving || !c.registered() || cause == takeover.Unreachable && now < g.changeStartedAt+reachRetryInterval {
 			continue
 		}
 		g.changing, g.changeStartedAt = true, now
@@ -538,7 +538,7 @@
 		Now: now, Record: record, RecordLearnedAt: c.groupState(id).learnedAt, Listed: listed, Leaving: e.Leaving,
 		Rank: c.keeperRank(id),
 	}
-	if m := c.members[record.Holder]; record.Holder == c.Self.ID || m.Left && c.tables[c.Schema.FleetTable].asOf >= record.Version {
+	if record.Holder == c.Self.ID || c.hasLeft(record.Holder, record.Version) {
 		s.HolderStopped = true
 	}
 	if !listed {
@@ -561,7 +561,7 @@
 	out := make([]ratelimit.Member, 0, len(c.peers)+1)
 	out = append(out, ratelimit.Member{ID: c.Self.ID, Running: true, Reachable: true, Serving: !c.leaving})
 	for _, p := range c.peers {
-		out = append(out, ratelimit.Member{ID: p.ID, Running: !p.Left, Serving: now >= p.awayUntil && !c.absent[p.ID],
+		out = append(out, ratelimit.Member{ID: p.ID, Running: !c.hasLeft(p.ID, 0) || !c.proofIsRecent(now), Serving: now >= p.awayUntil && !c.absent[p.ID],
 			Reachable: !p.down && !c.absent[p.ID]})
 	}
 	slices.SortFunc(out, func(a, b ratelimit.Member) int { return cmp.Compare(a.ID, b.ID) })
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
@@ -14,6 +13,7 @@
 	"github.com/vanillahinge/vanillahinge/core/kvstore"
 	"github.com/vanillahinge/vanillahinge/core/lease"
 	"github.com/vanillahinge/vanillahinge/core/placement"
+	"github.com/vanillahinge/vanillahinge/core/takeover"
 	"github.com/vanillahinge/vanillahinge/edge/forward"
 	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
 	"github.com/vanillahinge/vanillahinge/edge/pool"
@@ -228,7 +228,7 @@
 		sleep(ctx, maxJoinPause)
 		return
 	}
-	ch := &primaryChange{ctl: c, old: old, record: l, startedAt: c.Clock.Now(), claimedAt: c.Clock.Now()}
+	ch := &primaryChange{ctl: c, old: old, record: l, startedAt: c.Clock.Now(), claimedAt: c.Clock.Now(), calledAt: c.Clock.Now()}
 	if _, ok := ch.awaitConfirmations(ctx); !ok {
 		return
 	}
@@ -265,39 +265,51 @@
 	}) == nil
 }
 
-// leaveTimeout bounds the writes with which a stopping instance leaves the fleet.
+// leaveTimeout bounds the time in which a stopping instance marks its member record.
 const leaveTimeout = 400 * time.Millisecond
 
-// Deregister removes this instance from the users of all primaries and marks its member
-// record, so that no change of primary waits for it. Call it once nothing more is sent to
-// endpoints. A removal that fails costs the next change the wait for this instance.
-func (c *Controller) Deregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+// Deregister marks the member record of this instance as left, so that nothing waits for it:
+// it is no user of primaries any more. Call it once nothing more is sent to endpoints. Without
+// the mark a change of primary waits until the permission of this instance would have ended.
+func (c *Controller) Deregister() {
+	ctx, cancel := context.WithTimeout(c.ctx, leaveTimeout)
 	defer cancel()
-	var records []catalog.Leadership
-	if c.runInLoop(ctx, func() {
-		c.deregistered = true
-		c.renewLease()
-		for _, g := range c.groups {
-			if g.record.Settled && slices.Contains(g.record.Users, c.Self.ID) {
-				records = append(records, g.record.WithoutUser(c.Self.ID))
+	self := c.Self
+	self.Left = true
+	for {
+		changing := false
+		if c.runInLoop(ctx, func() {
+			c.leaving, c.deregistered = true, true
+			c.renewLease()
+			for _, g := range c.groups {
+				changing = changing || g.changing
 			}
+		}) != nil {
+			return
 		}
-	}) != nil {
-		return
-	}
-	var wg sync.WaitGroup
-	for _, l := range records {
-		wg.Go(func() { c.storeRecord(ctx, &l) })
-	}
-	wg.Go(func() {
-		self := c.Self
-		self.Left = true
-		if err := c.storeMember(ctx, self); err != nil {
+		// The mark says that no change is carried out here either.
+		err := errChanging
+		if !changing {
+			err = c.storeMember(ctx, self)
+		}
+		if err == nil {
+			return
+		}
+		if !sleep(ctx, changePollInterval) {
 			c.Log.Info("control: member record not marked as left", "error", err.Error())
+			return
 		}
-	})
-	wg.Wait()
+	}
+}
+
+// errChanging means that this instance still carries out a change of primary.
+var errChanging = errors.New("control: a change of primary goes on; another instance takes it over later")
+
+// hasLeft reports whether an instance has left the fleet, as of a version of the fleet's
+// table or later. Its next process gets no permission before its own record is in its copy
+// of the table, which then holds what was written before.
+func (c *Controller) hasLeft(id fleet.InstanceID, version uint64) bool {
+	return c.members[id].Left && c.tables[c.Schema.FleetTable].asOf >= version && c.Clock.Now() >= c.eraSeenAt+takeover.RenewalWait
 }
 
 // removeGoneMembers deletes the records of members that have been absent for long. An
@@ -375,8 +387,9 @@
 	answers := make(chan bool, len(l.Users))
 	for _, id := range l.Users {
 		go func() {
-			if id == c.Self.ID {
-				answers <- true // it has read the record
+			left := false
+			if c.runInLoop(call, func() { left = c.hasLeft(id, l.Version) }) != nil || left || id == c.Self.ID {
+				answers <- left || id == c.Self.ID // this instance has read the record
 				return
 			}
 			peers := c.peerList(call, []fleet.InstanceID{id})
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -133,11 +133,11 @@
 	}
 	stopped := 0
 	for _, p := range c.peers {
-		if p.Left {
+		if c.hasLeft(p.ID, 0) && c.proofIsRecent(now) {
 			stopped++
 		}
 	}
-	if relay.Quorum(len(c.presence.Heard(now))+1, stopped, len(c.members)) {
+	if c.registered() && relay.Quorum(len(c.presence.Heard(now))+1, stopped, len(c.members)) {
 		c.setContact(now)
 	}
 	if absent, ok := c.presence.Absent(now, c.Self.ID, c.order, stopped); ok {
@@ -157,6 +157,13 @@
 	}
 }
 
+// proofIsRecent reports whether this instance would know by now if an instance that has left
+// had come back.
+func (c *Controller) proofIsRecent(now time.Duration) bool {
+	at, ok := c.lease.Proof()
+	return ok && now <= at+maxRelayedProofAge
+}
+
 // inContact reports whether the other instances cannot take this one for absent yet.
 func (c *Controller) inContact(now time.Duration) bool {
 	return c.hasContact && now < c.contact+relay.ContactFor
@@ -507,7 +514,7 @@
 	res := &peerrpc.WatchResponse{HeldMS: held.Milliseconds(), ProofAgeMS: -1, ContactAgeMS: -1, Serving: c.serving(),
 		Era: c.era.Load(), ProvenSince: c.provenSince}
 	news := noNews
-	if at, ok := c.lease.Proof(); ok {
+	if at, ok := c.lease.Proof(); ok && !c.deregistered {
 		// Rounded up, so that the caller never takes the proof for younger than it is.
 		res.ProofAgeMS = (now - at).Milliseconds() + 1
 		if req.ProofAgeMS < 0 || time.Duration(res.ProofAgeMS)*time.Millisecond+proofGain < time.Duration(req.ProofAgeMS)*time.Millisecond+held {
