pool: a leaving endpoint is used for its time only

Cause: a leaving endpoint is promoted when no other answers, and a primary was used for as long as it was one. It is used until 1 s before the bound of the settings now; then the group has no primary, which callers are told at once.

--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -69,6 +69,10 @@
 	// statement may wait while its group has no primary. The rest leaves the
 	// caller time to repeat it.
 	maxQueueShare = 0.9
+	// drainMargin is how long before the end of a leaving endpoint's time statements are
+	// sent to it no more: it announced its end before that was known here, and a statement
+	// takes some time to get there.
+	drainMargin = time.Second
 	// leaseWait bounds the wait for the lease on primaries, which is renewed
 	// within a few calls after a machine resumes from suspension.
 	leaseWait = 250 * time.Millisecond
@@ -136,6 +140,8 @@
 	idle         []*Conn
 	inUse        map[*Conn]struct{}
 	listed       bool // in the current view
+	// leavingSince is when the endpoint was first known to be leaving, if it is.
+	leavingSince time.Duration
 	rtt          time.Duration
 	lastProbe    time.Duration
 	// probing is true while a probe of the address runs.
@@ -159,6 +165,12 @@
 	return s.limit
 }
 
+// mayBeUsed reports whether statements may be sent to the endpoint, which may be used for
+// drainTime after it has said that it is leaving.
+func (s *endpointState) mayBeUsed(now, drainTime time.Duration) bool {
+	return !s.Leaving || drainTime <= 0 || now < s.leavingSince+drainTime-drainMargin
+}
+
 func (s *endpointState) oneWayDelay() time.Duration { return s.rtt / 2 }
 
 type group struct {
@@ -220,6 +232,8 @@
 	local   fleet.DataCentre
 	// permissions holds what permits the use of each group's primary.
 	permissions atomic.Pointer[map[fleet.GroupID]lease.Permission]
+	// drainTime is how long a leaving endpoint may be used, 0 for no limit.
+	drainTime time.Duration
 	// onNoLease is called when a statement needs a primary without a lease.
 	onNoLease func(fleet.GroupID)
 
@@ -238,6 +252,10 @@
 		endpoints: map[fleet.EndpointID]*endpointState{}, groups: map[fleet.GroupID]*group{}, inFlight: map[fleet.AccountID]int{}}
 }
 
+// SetDrainTime sets how long an endpoint may be used after it has said that it is leaving.
+// Call it before the pool is used.
+func (p *Pool) SetDrainTime(d time.Duration) { p.drainTime = d }
+
 // SetPermissions sets, by group, what permits the use of its primary.
 func (p *Pool) SetPermissions(permissions map[fleet.GroupID]lease.Permission) {
 	p.permissions.Store(&permissions)
@@ -338,6 +356,9 @@
 				}
 				p.endpoints[e.ID] = s
 			}
+			if e.Leaving && !s.Leaving {
+				s.leavingSince = p.clock.Now()
+			}
 			s.Endpoint, s.listed = e, true
 			p.setLimits(s)
 		}
@@ -450,7 +471,7 @@
 	for _, e := range p.view.Endpoints[r.Group] {
 		s := p.endpoints[e.ID]
 		isPrimary := usable && e.ID == primary
-		if s == nil || s.unreachable || r.Primary && !isPrimary || !isPrimary && s.Leaving {
+		if s == nil || s.unreachable || r.Primary && !isPrimary || !isPrimary && s.Leaving || !s.mayBeUsed(now, p.drainTime) {
 			continue
 		}
 		reachable = true
--- a/edge/pool/pool_test.go
+++ b/edge/pool/pool_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
 )
 
 // TestConnectionLimitLeavesRoomForSuccessors guards against instances that
@@ -17,3 +20,14 @@
 	}
 	assert.Equal(t, connectionLimit(5, 4), 2, "an instance can always serve two accounts")
 }
+
+// Guards against statements to an endpoint that has been leaving for longer than it serves,
+// after it was promoted because no other answered (hunt h5n-128 on sc-hire, DRAIN 16).
+func TestLeavingPrimaryIsUsedForItsTimeOnly(t *testing.T) {
+	s := &endpointState{Endpoint: catalog.Endpoint{Leaving: true}, leavingSince: 2 * time.Second}
+	assert.Assert(t, s.mayBeUsed(7900*time.Millisecond, 7*time.Second))
+	assert.Assert(t, !s.mayBeUsed(8*time.Second, 7*time.Second))
+	assert.Assert(t, s.mayBeUsed(time.Hour, 0), "no limit is set")
+	s.Leaving = false
+	assert.Assert(t, s.mayBeUsed(time.Hour, 7*time.Second))
+}
