control: a copy of a table is replaced only by a newer one, also at a second restore

A whole read that was answered late replaced a newer copy of the same era and left its position, so the feed never brought the missing rows: an instance without its own member record had no permission any more. The unchanged entry of an endpoint counted as a new one at the second of two restores. The mark of an instance that had left was lost through a copy from before.

--- a/edge/control/entries.go
+++ b/edge/control/entries.go
@@ -39,6 +39,9 @@
 // copy may hold an entry from before the endpoint announced its end or left the list.
 func (c *Controller) latestEntry(e catalog.Endpoint, version uint64) (catalog.Endpoint, bool) {
 	k := c.entries[e.ID]
+	if k != nil && kvstore.Era(k.copied) < kvstore.Era(version) {
+		k.copied, k.reviewed = 0, false // another copy
+	}
 	if k != nil && k.era < kvstore.Era(version) && (k.copied == 0 || k.copied == version) {
 		if k.copied == 0 {
 			k.copiedAt = c.Clock.Now()
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -81,7 +81,7 @@
 // the one in use.
 func (c *Controller) replaceTable(name string, all []kvstore.Row, asOf uint64) {
 	t := c.tables[name]
-	if t.loaded && kvstore.Era(asOf) < kvstore.Era(t.asOf) {
+	if t.loaded && asOf < t.asOf {
 		return
 	}
 	if name == c.Schema.FleetTable {
@@ -291,6 +291,10 @@
 					c.refuse(t, r, "control: invalid member record ignored", "fleet_rows_ignored", err)
 					continue
 				}
+				// The store may have lost the mark of a process that has left.
+				if before := rowsBefore[key].member; before.ID == known.member.ID && before.Incarnation == known.member.Incarnation {
+					known.member.Left = known.member.Left || before.Left
+				}
 				membersChanged = true
 			}
 			c.memberRows[key] = known
