control: a record of an earlier era of the store is not written, and one is renewed without those that have left

(1) A registration, claim or removal that began before this instance had learned of a restore from a peer was written with the stamp of the new era on the older row of the copy, and won over the newer record that others remembered; the claim skipped the wait after a renewal. A required version of an earlier era is a conflict now. (2) After two of three instances had left, a restore left the group without a primary for good: a renewal counts those that have left, after the grace of those that were restarted.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -186,7 +186,7 @@
 // Next returns the record with the revision of a write in an era of the store.
 func (l Leadership) Next(era uint64) Leadership {
 	l.Revision++
-	l.Era = era
+	l.Era = max(l.Era, era)
 	return l
 }
 
--- a/edge/control/era.go
+++ b/edge/control/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,7 +25,7 @@
 	renewalStagger = 60 * time.Millisecond
 	renewalRetry   = 150 * time.Millisecond
 	// renewalGrace is how long a renewal asks for users whose process remembers the
-	// earlier era, before those that have been restarted count as well.
+	// earlier era, before those that have been restarted or have left count as well.
 	renewalGrace = lease.Duration
 	// recordedEras is how many of the latest eras have a row in the fleet's table. A write
 	// that the store applies late is from one of the eras before.
@@ -89,6 +90,11 @@
 // a later era: the versions that the transaction requires may have been given out again.
 // The error is one of Store.Apply.
 func (c *Controller) apply(ctx context.Context, t kvstore.Transaction) (uint64, error) {
+	for _, r := range t.Require {
+		if r.Version > 0 && kvstore.Era(r.Version) < c.era.Load() {
+			return 0, fmt.Errorf("%w: row %q was read in an earlier era", kvstore.ErrConflict, r.Key)
+		}
+	}
 	t.Require = append(slices.Clone(t.Require), kvstore.Row{Table: c.Schema.FleetTable, Key: eraKey(c.era.Load() + 1)})
 	t.Put = append(slices.Clone(t.Put), *c.eraRows.Load()...)
 	return c.Store.Apply(ctx, t)
@@ -255,7 +261,7 @@
 			if a, ok := answers[u]; ok && a.Era >= era {
 				since, answered = a.ProvenSince, true
 			}
-			if answered && (since <= record.Era || restartedCount) {
+			if answered && (since <= record.Era || restartedCount) || restartedCount && c.hasLeft(u, 0) {
 				known++
 			}
 		}
