--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -194,11 +194,10 @@
 	catalog.Member
 	client *peerrpc.Peer
 	// down is set after a call to the instance has failed, until one succeeds. It is
-	// probed at probeAt. refused is set if its address refused the connection, which does
-	// not show that its process has ended.
-	down, refused bool
-	probeAt       time.Duration
-	probePause    time.Duration
+	// probed at probeAt.
+	down       bool
+	probeAt    time.Duration
+	probePause time.Duration
 	// Until staleUntil another instance is preferred, because this one had no recent
 	// proof.
 	staleUntil time.Duration
@@ -234,7 +233,7 @@
 	for _, name := range []string{c.Schema.OperatorTable, c.Schema.EndpointTable, c.Schema.FleetTable} {
 		ctl.tables[name] = &table{rows: map[string]kvstore.Row{}, deleted: map[string]kvstore.Row{}}
 	}
-	c.Limiter.onHomeGone = ctl.handleHomeGone
+	c.Limiter.onHomeDown = ctl.handleHomeDown
 	c.Pool.OnNoLease(ctl.requestJoin)
 	ctl.view.Store(&view.View{})
 	ctl.keepersByGroup.Store(&map[fleet.GroupID][]forward.Keeper{})
--- a/edge/control/homes.go
+++ b/edge/control/homes.go
@@ -98,13 +98,13 @@
 	}
 }
 
-// handleHomeGone records that a home does not run or is leaving, and assigns the
-// homes again.
-func (c *Controller) handleHomeGone(p *peer, leaving bool) {
+// handleHomeDown records that a home cannot be called or is leaving, and assigns the homes
+// again.
+func (c *Controller) handleHomeDown(p *peer) {
 	call, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
 	if c.runInLoop(call, func() {
-		c.markDown(p, !leaving)
+		c.markDown(p)
 	}) != nil {
 		c.Metrics.Count("control_busy")
 	}
--- a/edge/control/limiter.go
+++ b/edge/control/limiter.go
@@ -36,9 +36,9 @@
 	clock   *clock.Clock
 	metrics *telemetry.Metrics
 
-	// onHomeGone is called when no process runs at a home, or the home is leaving, so
+	// onHomeDown is called when a home refuses connections, or the home is leaving, so
 	// that the next home is assigned at once.
-	onHomeGone func(p *peer, leaving bool)
+	onHomeDown func(p *peer)
 
 	mu      sync.Mutex
 	buckets *ratelimit.Limiter
@@ -152,8 +152,8 @@
 		if err == nil && got.NotHome {
 			err = errNotHome
 		}
-		if leaving := err == nil && got.Leaving; leaving || errors.Is(err, peerrpc.ErrRefused) {
-			l.onHomeGone(h.peer, leaving)
+		if err == nil && got.Leaving || errors.Is(err, peerrpc.ErrRefused) {
+			l.onHomeDown(h.peer)
 			if l.homePeer(account) != h.peer {
 				l.mu.Lock()
 				r.waiting = append(waiting, r.waiting...)
--- a/edge/control/refused_test.go
+++ b/edge/control/refused_test.go
@@ -12,6 +12,7 @@
 	"github.com/vanillahinge/vanillahinge/core/lease"
 	"github.com/vanillahinge/vanillahinge/core/ratelimit"
 	"github.com/vanillahinge/vanillahinge/core/relay"
+	"github.com/vanillahinge/vanillahinge/edge/peerrpc"
 )
 
 // refusedRecord is the record of a change by "self". Its user "peer-0" confirms, and "peer-1" is
@@ -55,7 +56,7 @@
 	record.Holder = "peer-0"
 	assert.NilError(t, c.runInLoop(ctx, func() {
 		c.adoptLeadership(record)
-		c.markDown(c.peers["peer-0"], true)
+		c.recordPeerFailure(c.peers["peer-0"], peerrpc.ErrRefused)
 		o, _ := c.takeoverObservation("bookings", c.Clock.Now())
 		assert.Assert(t, !o.HolderStopped)
 	}))
@@ -78,7 +79,7 @@
 	time.Sleep(relay.ContactFor)
 	assert.NilError(t, c.runInLoop(ctx, func() {
 		for _, p := range c.peers {
-			c.markDown(p, true)
+			c.recordPeerFailure(p, peerrpc.ErrRefused)
 		}
 		c.updateRole(c.Clock.Now())
 		assert.Assert(t, !c.inContact(c.Clock.Now()))
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -121,7 +121,7 @@
 	defer cancel()
 	if c.runInLoop(call, func() {
 		if p := c.peers[id]; p != nil {
-			c.markDown(p, false)
+			c.markDown(p)
 		}
 	}) != nil {
 		c.Metrics.Count("control_busy")
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -280,20 +280,18 @@
 	if !p.down {
 		c.Log.Info("control: instance does not answer", "peer", string(p.ID), "refused", refused, "error", err.Error())
 	}
-	c.markDown(p, refused)
+	c.markDown(p)
 	c.Metrics.Count("exchange_failures")
 }
 
 // markDown makes a peer count as down.
-func (c *Controller) markDown(p *peer, refused bool) {
-	if p.down && p.refused == refused {
+func (c *Controller) markDown(p *peer) {
+	if p.down {
 		return // told by many operations at once
 	}
-	if !p.down {
-		p.probePause = minProbePause
-		p.probeAt = c.Clock.Now() + p.probePause
-	}
-	p.down, p.refused, p.reported = true, refused, nil
+	p.probePause = minProbePause
+	p.probeAt = c.Clock.Now() + p.probePause
+	p.down, p.reported = true, nil
 	c.assignHomes()
 	c.publishPlacement()
 }
@@ -302,7 +300,7 @@
 func (c *Controller) recordPeerAnswer(p *peer, serving bool) {
 	now := c.Clock.Now()
 	changed := p.down || serving != (now >= p.awayUntil)
-	p.down, p.refused, p.awayUntil = false, false, 0
+	p.down, p.awayUntil = false, 0
 	if !serving {
 		p.awayUntil = now + awayTime
 	}
