--- a/review/harness/quota.go
+++ b/review/harness/quota.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 	"sort"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -51,13 +49,6 @@
 	return most, from
 }
 
-func number(name string, def float64) float64 {
-	if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
-		return v
-	}
-	return def
-}
-
 // load is the traffic of one tenant.
 type load struct {
 	w   *world
@@ -100,7 +91,9 @@
 		l.ops.mu.Lock()
 		l.ops.sent[id] = time.Now()
 		l.ops.mu.Unlock()
+		l.w.log.write("client %d sends %s FETCH roof%d to %s", n, id, n, at[i%len(at)].name)
 		a, err := s.query(id, fmt.Sprintf("FETCH roof%d", n), 2*time.Second)
+		l.w.log.write("client %d gets to %s: done=%q code=%q %v", n, id, a.done, a.code, err)
 		if err != nil {
 			s.close()
 			s = nil
@@ -117,15 +110,23 @@
 	}
 }
 
-// usualShare is the limit of a tenant in terms of its usual traffic, as on the bench.
-const usualShare = 1.6
+const (
+	// usualShare is the limit of a tenant in terms of its usual traffic, as in the site file.
+	usualShare = 1.6
+	// The limits of the tenant: two seconds of its rate at once.
+	hotRate, hotBurst = 150, 300
+	// killAfter is when the home is killed, counted from the begin of the surge, and
+	// downFor how long it stays down.
+	killAfter = 800 * time.Millisecond
+	downFor   = 500 * time.Millisecond
+)
 
 // homeRestarted kills the instance that keeps a tenant's bucket shortly after the clients
 // connected to it have begun to send several times their usual, and starts it again. The
 // clients go on at the other instances.
 func homeRestarted(binary string, log *record, trouble bool) (broken []string) {
-	tenants := eightTenants(number("RATE", 150))
-	tenants[0].burst = number("BURST", 300)
+	tenants := eightTenants(hotRate)
+	tenants[0].burst = hotBurst
 	t := tenants[0]
 	w := newWorld(binary, log, tenants, 5*time.Millisecond)
 	ended = func(int) { w.close() }
@@ -171,15 +172,18 @@
 	log.write("the tenant begins to send 7.5 times its usual")
 	times.Store(75)
 	if trouble {
-		time.Sleep(time.Duration(number("AFTER_MS", 500)) * time.Millisecond)
+		time.Sleep(killAfter)
 		w.signal(home, syscall.SIGKILL)
 		w.awaitExit(home)
-		time.Sleep(time.Duration(number("DOWN_MS", 500)) * time.Millisecond)
+		time.Sleep(downFor)
 		w.start(home)
 	}
 	time.Sleep(time.Until(begin.Add(7 * time.Second)))
 	close(stop)
 	time.Sleep(500 * time.Millisecond)
+	for _, r := range ran(w.services) {
+		log.write("run at %.3f on %s for %s: %s %s", log.at(r.at), r.backend, r.tenant, r.id, r.text)
+	}
 	most, from := l.ops.worstWindow(ran(w.services), t.name)
 	limit := (t.rate*quotaWindow.Seconds()+t.burst)*(1+quotaOvershoot) + quotaSlack
 	log.write("most operations sent and run within %v: %d from %.3f; limit %.1f; answered %d, refused %d", quotaWindow, most, log.at(from), limit, l.ops.done, l.ops.busy)
