--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -48,11 +48,15 @@
 	log      *record
 	workTime time.Duration
 	maxConns int
+	// sync is sync_replicas: how many replicas receive a commit before it is acknowledged.
+	sync int
 
 	mu       sync.Mutex
 	backends []*backend
 	term     uint64
 	runs     []run
+	// onLead is called with a backend that has begun to lead, if it is set.
+	onLead func(b *backend)
 }
 
 // backend is one server of a service.
@@ -72,7 +76,9 @@
 	conns    map[net.Conn]bool
 	down     bool
 	draining bool
-	seq      int
+	// deaf is set while a replica receives nothing, paused after PAUSE.
+	deaf, paused bool
+	seq          int
 }
 
 func newService(s *store, log *record, name string, zones []string, maxConns int, work time.Duration) *service {
@@ -175,12 +181,15 @@
 		return
 	}
 	v.term++
-	b.primary, b.term = true, v.term
+	b.primary, b.term, b.paused = true, v.term, false
+	if v.onLead != nil {
+		v.onLead(b)
+	}
 	b.commits = append(b.commits, commit{at: position{v.term, b.received().number + 1}})
 	b.applied = len(b.commits)
 	for _, o := range v.backends {
-		if o != b && !o.down {
-			o.primary, o.term = false, v.term
+		if o != b && !o.down && !o.deaf {
+			o.primary, o.term, o.paused = false, v.term, false
 			o.commits = append([]commit(nil), b.commits...)
 			o.applied = len(o.commits)
 		}
@@ -280,6 +289,9 @@
 			return
 		}
 		out := s.statement(f[1], f[2])
+		if out == "" {
+			return // the answer is lost
+		}
 		state := "I"
 		switch {
 		case s.failed:
@@ -379,8 +391,14 @@
 		s.prepared = map[string]string{}
 		return "DONE -\r\n"
 	case "STATUS", "PAUSE", "RESUME", "DEMOTE":
-		if t, _ := strconv.ParseUint(rest, 10, 64); verb == "DEMOTE" && t > b.term {
+		t, _ := strconv.ParseUint(rest, 10, 64)
+		switch {
+		case verb == "DEMOTE" && t > b.term:
 			b.primary = false
+		case verb == "PAUSE" && t > b.term:
+			b.paused = true
+		case verb == "RESUME":
+			b.paused = false
 		}
 		role := "replica"
 		if b.primary {
@@ -407,7 +425,9 @@
 			s.writes[item] = data
 			return ran()
 		}
-		b.commit(map[string]string{item: data})
+		if !b.commit(map[string]string{item: data}) {
+			return ""
+		}
 		return ran()
 	case "COMMIT":
 		writes, open, failed := s.writes, s.open, s.failed
@@ -417,8 +437,8 @@
 			return "ERR BADMSG no transaction\r\n"
 		case len(writes) > 0 && !b.primary:
 			return "ERR READONLY " + b.id + "\r\n"
-		case len(writes) > 0:
-			b.commit(writes)
+		case len(writes) > 0 && !b.commit(writes):
+			return ""
 		}
 		return ran()
 	case "ROLLBACK":
@@ -428,15 +448,19 @@
 	return s.fail("BADMSG " + verb)
 }
 
-// commit appends to the log of the primary; the replicas apply it later.
-func (b *backend) commit(writes map[string]string) {
+// commit appends to the log of the primary. A replica that receives it applies it later. It
+// returns false if not enough replicas receive it; then there is no answer. The caller holds
+// the mutex.
+func (b *backend) commit(writes map[string]string) bool {
 	c := commit{at: position{b.term, b.received().number + 1}, writes: writes}
 	b.commits = append(b.commits, c)
 	b.applied = len(b.commits)
+	received := 0
 	for _, o := range b.service.backends {
-		if o == b || o.down || o.term > b.term {
+		if o == b || o.down || o.deaf || o.paused || o.term > b.term {
 			continue
 		}
+		received++
 		o.commits = append(o.commits, c)
 		time.AfterFunc(replicaLag, func() {
 			o.service.mu.Lock()
@@ -446,6 +470,29 @@
 			}
 		})
 	}
+	return received >= b.service.sync
+}
+
+// setDeaf sets whether a replica receives nothing. Afterwards it gets what it lacks.
+func (b *backend) setDeaf(deaf bool) {
+	v := b.service
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	b.deaf = deaf
+	for _, o := range v.backends {
+		if !deaf && o.primary && !o.down && o.term >= b.term && !b.primary {
+			b.term, b.commits = o.term, append([]commit(nil), o.commits...)
+			b.applied = len(b.commits)
+		}
+	}
+}
+
+// drain announces in the store that the backend is about to leave.
+func (b *backend) drain() {
+	b.service.mu.Lock()
+	b.draining = true
+	b.service.mu.Unlock()
+	b.report()
 }
 
 // ran returns the runs of all services.
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 
 // cases maps the name of a case to what plays it. It returns what broke the rule.
 var cases = map[string]func(binary string, log *record, trouble bool) (broken []string){
+	"sync-commit-lost":       syncCommitLost,
 	"stop-in-transaction":    stopInTransaction,
 	"home-restarted":         homeRestarted,
 	"revoked-in-transaction": revokedInTransaction,
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -127,7 +127,8 @@
 			routes = append(routes, map[string]any{"name": "r-" + host, "host": host, "prefix": "/", "type": k.kind, "timeout_ms": k.timeout, "goal_ms": k.goal,
 				"prio": k.prio, "service": name, "attempts": 2, "max_staleness_ms": k.stale, "public": false})
 		}
-		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": 21, "protocol": "h1", "tls": false, "sync_replicas": 0})
+		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": 21, "protocol": "h1", "tls": false,
+			"sync_replicas": w.services[name].sync})
 	}
 	for _, t := range w.tenants {
 		tenants = append(tenants, map[string]any{"name": t.name, "api_keys": []string{t.key}, "prio": 1, "rate_per_s": t.rate, "burst": t.burst})
