--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -139,6 +139,27 @@
 	time.AfterFunc(3*heartbeat, func() { b.service.store.drop("servers", b.id) })
 }
 
+// restart starts a crashed backend again at its address, as a replica with the log of the
+// backend that leads now.
+func (b *backend) restart() {
+	l, err := net.Listen("tcp", b.addr)
+	if err != nil {
+		cannotRun("listen again for a backend: %v", err)
+	}
+	v := b.service
+	v.mu.Lock()
+	b.listener, b.down, b.primary, b.born, b.seq = l, false, false, time.Now().UnixMilli(), 0
+	for _, o := range v.backends {
+		if o.primary && !o.down {
+			b.term, b.commits = o.term, append([]commit(nil), o.commits...)
+			b.applied = len(b.commits)
+		}
+	}
+	v.mu.Unlock()
+	b.report()
+	go b.accept()
+}
+
 func (b *backend) received() position {
 	if len(b.commits) == 0 {
 		return position{1, 0}
--- a/review/harness/syncloss.go
+++ b/review/harness/syncloss.go
@@ -84,6 +84,27 @@
 		})
 	}
 	time.Sleep(time.Second)
+	if os.Getenv("EARLIER") == "1" { // an earlier crash of the primary, long over
+		log.write("%s crashes", primary.id)
+		primary.crash()
+		time.Sleep(5 * time.Second)
+		primary.restart()
+		log.write("%s is back", primary.id)
+		time.Sleep(10 * time.Second)
+		v.mu.Lock()
+		former := primary
+		for _, b := range v.backends {
+			switch {
+			case b.primary && !b.down:
+				primary = b
+			case b != former:
+				deaf = b
+			}
+		}
+		leaving = former
+		v.mu.Unlock()
+		led = make(chan struct{})
+	}
 	if trouble {
 		if os.Getenv("RELEASE") != "0" { // with 0 the leaving replica stays
 			log.write("%s announces that it is leaving", leaving.id)
