--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -139,8 +139,7 @@
 
 // addInstance prepares an instance with an address of its own.
 func (w *world) addInstance(name, zone string, port int) *instance {
-	n := len(w.instances) + 1
-	ip := fmt.Sprintf("127.77.%d.%d", os.Getpid()%250+1, n)
+	ip := fleetIP(len(w.instances) + 1)
 	in := &instance{name: name, zone: zone, ip: ip, front: fmt.Sprintf("%s:%d", ip, port), ready: fmt.Sprintf("%s:%d", ip, port+1),
 		meter: fmt.Sprintf("%s:%d", ip, port+11), settings: filepath.Join(w.dir, name+".json")}
 	w.instances = append(w.instances, in)
@@ -201,17 +200,17 @@
 	}
 }
 
-// freePorts returns the first of some ports that are free on all addresses of the fleet.
+// freePorts returns the first of some ports that are free on the addresses of the fleet.
 func freePorts() int {
 	for port := 20000 + os.Getpid()%97*100; port < 60000; port += 100 {
 		free := true
 		for _, offset := range []int{0, 1, 10, 11, 12} {
-			l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port+offset))
-			if err != nil {
-				free = false
-				break
+			for n := 1; n <= fleetSize && free; n++ {
+				l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", fleetIP(n), port+offset))
+				if free = err == nil; free {
+					_ = l.Close()
+				}
 			}
-			_ = l.Close()
 		}
 		if free {
 			return port
@@ -221,6 +220,12 @@
 	return 0
 }
 
+// fleetSize is the number of instances of the small deployment.
+const fleetSize = 4
+
+// fleetIP returns the loopback address of the n-th instance, counted from 1.
+func fleetIP(n int) string { return fmt.Sprintf("127.77.%d.%d", os.Getpid()%250+1, n) }
+
 func (w *world) start(in *instance) {
 	out, err := os.OpenFile(filepath.Join(w.dir, in.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
