--- a/review/harness/quota.go
+++ b/review/harness/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -119,6 +120,8 @@
 	// downFor how long it stays down.
 	killAfter = 800 * time.Millisecond
 	downFor   = 500 * time.Millisecond
+	// freezeFor is how long it stands still in the other form of the case.
+	freezeFor = 4 * time.Second
 )
 
 // homeRestarted kills the instance that keeps a tenant's bucket shortly after the clients
@@ -173,12 +176,18 @@
 	times.Store(75)
 	if trouble {
 		time.Sleep(killAfter)
-		w.signal(home, syscall.SIGKILL)
-		w.awaitExit(home)
-		time.Sleep(downFor)
-		w.start(home)
+		if os.Getenv("FREEZE") == "1" { // the home stands still instead
+			w.signal(home, syscall.SIGSTOP)
+			time.Sleep(freezeFor)
+			w.signal(home, syscall.SIGCONT)
+		} else {
+			w.signal(home, syscall.SIGKILL)
+			w.awaitExit(home)
+			time.Sleep(downFor)
+			w.start(home)
+		}
 	}
-	time.Sleep(time.Until(begin.Add(7 * time.Second)))
+	time.Sleep(time.Until(begin.Add(10 * time.Second)))
 	close(stop)
 	time.Sleep(500 * time.Millisecond)
 	for _, r := range ran(w.services) {
@@ -193,7 +202,7 @@
 			bins[int(r.at.Sub(begin)/(250*time.Millisecond))]++
 		}
 	}
-	for i := range 28 {
+	for i := range 40 {
 		log.write("run from %.2f s after the surge on: %d in 0.25 s", float64(i)*0.25, bins[i])
 	}
 	fmt.Printf("most %d, limit %.1f\n", most, limit)
