--- a/review/harness/stop.go
+++ b/review/harness/stop.go
@@ -61,7 +61,7 @@
 	results := make(chan string, len(all))
 	for _, c := range all {
 		go func() {
-			// A statement each 300 ms: well inside tx_idle_ms and below 12 statements.
+			// A statement each 300 ms: well inside tx_idle_ms, and at most 12 statements with BEGIN and COMMIT.
 			for next := 300 * time.Millisecond; next < c.commitAt-100*time.Millisecond; next += 300 * time.Millisecond {
 				time.Sleep(time.Until(start.Add(next)))
 				if _, ok := send(c, "FETCH roof2"); !ok {
