--- a/core/failover/failover_test.go
+++ b/core/failover/failover_test.go
@@ -382,6 +382,20 @@
 	assert.Equal(t, g.primaryTerm(), fleet.Term(2))
 }
 
+// Guards against acknowledged commits that are lost because the only replica that has them is
+// leaving (review/2, played against the project's own interface). A commit is acknowledged
+// once a second endpoint has it.
+func TestLeavingEndpointWithAcknowledgedCommitsIsPromoted(t *testing.T) {
+	g := newTestGroup(t, 3)
+	g.run(time.Second, nil)
+	g.statuses["E1"].Received, g.statuses["E2"].Received = 13, 13
+	for _, id := range g.instanceIDs {
+		g.step(id, LeavingEndpoints{Endpoints: []fleet.EndpointID{"E2"}})
+	}
+	g.down["E1"] = true
+	g.run(2*time.Second, g.isPrimaryEverywhere("E2"))
+}
+
 // An endpoint that lost its log must not follow the primary before the other endpoints
 // have confirmed the term; it could follow an old primary.
 func TestEndpointWithLostLogFollowsAfterConfirmation(t *testing.T) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -3,6 +3,8 @@
 // endpoints, terms and log positions.
 package fleet
 
+import "cmp"
+
 // InstanceID identifies an instance of the proxy. It is unique over the lifetime
 // of the fleet.
 type InstanceID string
@@ -36,6 +38,12 @@
 	Position Position
 }
 
+// Compare orders positions by term and then by position: the log that ends at the greater one
+// is newer.
+func (p LogPosition) Compare(q LogPosition) int {
+	return cmp.Or(cmp.Compare(p.Term, q.Term), cmp.Compare(p.Position, q.Position))
+}
+
 // Max returns the later of p and q, ordered by term first.
 func (p LogPosition) Max(q LogPosition) LogPosition {
 	if q.Term > p.Term || q.Term == p.Term && q.Position > p.Position {
--- a/core/takeover/finish_test.go
+++ b/core/takeover/finish_test.go
@@ -16,7 +16,7 @@
 	promoted := stmt.EndpointState{Primary: true, Term: newTerm}
 	candidates := []Candidate{{Endpoint: "promoted", Received: fleet.LogPosition{Term: newTerm, Position: 10}, Term: newTerm,
 		TakenOver: HasTakenOver(promoted, FormerTerm(catalog.Leadership{PrimaryTerm: formerTerm}, 0)), Suspect: promoted.Primary}}
-	best, ok := Choose(candidates)
+	best, ok := Choose(candidates, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, best.Endpoint, fleet.EndpointID("promoted"))
 	assert.Assert(t, best.TakenOver, "the change can never be finished while no other replica answers")
@@ -29,6 +29,6 @@
 	best, _ := Choose([]Candidate{
 		{Endpoint: "promoted", Received: fleet.LogPosition{Term: 2, Position: 12}, Term: 2, TakenOver: true, Suspect: true},
 		{Endpoint: "replica", Received: fleet.LogPosition{Term: 1, Position: 9}, Term: 1},
-	})
+	}, 0)
 	assert.Equal(t, best.Endpoint, fleet.EndpointID("promoted"))
 }
--- /dev/null
+++ b/core/takeover/sync_search_test.go
@@ -0,0 +1,424 @@
+package takeover
+
+import (
+	"fmt"
+	"hash/maphash"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+)
+
+// The search visits every state that a group with sync_replicas 1 can reach: a primary and
+// two replicas, commits, replicas that receive late or never, one endpoint at a time that is
+// down, endpoints that leave and get a successor with their log, entries of the list that
+// lapse, promotions that are refused, and holders that stop half way. Whatever is promoted
+// must have all acknowledged commits. Permission is taken for granted: nobody uses the old
+// primary once positions are asked for.
+const (
+	groupSize  = 3
+	maxEntries = 2
+	syncOne    = 1
+)
+
+type listing uint8
+
+const (
+	inList listing = iota
+	// lapsed: missing from the list for less than MissingGrace.
+	lapsed
+	// dropped: missing for longer.
+	dropped
+)
+
+type syncEndpoint struct {
+	log     [maxEntries]int8 // ids of entries, 0 after the last one
+	term    int8             // of the newest primary that it knows
+	listing listing
+	down    bool
+	leaving bool
+	// exited is set after an announced end, until the successor has the log and the address.
+	exited bool
+}
+
+type syncChange struct {
+	active bool
+	// former is the old primary, or none if its successor has its slot.
+	former       int8
+	previousTerm int8
+	planned      bool
+	// formerLost is set if the old primary has crashed, before the change or during it.
+	formerLost bool
+	// target is the length of the old primary's log and targetEntry its last entry, if
+	// targetKnown is set.
+	targetKnown bool
+	targetLen   int8
+	targetEntry int8
+	answered    [groupSize]syncAnswer
+	refused     [groupSize]bool
+}
+
+type syncAnswer struct {
+	known     bool
+	len, last int8
+	term      int8
+	primary   bool
+}
+
+type syncState struct {
+	endpoints [groupSize]syncEndpoint
+	leader    int8
+	term      int8
+	entryTerm [maxEntries + 1]int8 // by id
+	entries   int8
+	acked     uint8
+	change    syncChange
+	// What has happened, against the bounds of the search.
+	changes, crashes, leaves, lapses, refusals, stops int8
+}
+
+type syncSearch struct {
+	maxChanges, maxCrashes, maxLeaves, maxLapses, maxRefusals, maxStops int8
+	// Mutations.
+	availabilityFirst, firstAnswerDecides, forgetRefused, promoteUnanswered, forgetLapsed, forgetSuccessor, ignoreFormer bool
+}
+
+func (e *syncEndpoint) len() int8 {
+	n := int8(0)
+	for n < maxEntries && e.log[n] != 0 {
+		n++
+	}
+	return n
+}
+
+func (e *syncEndpoint) last() int8 {
+	if n := e.len(); n > 0 {
+		return e.log[n-1]
+	}
+	return 0
+}
+
+func (st *syncState) position(length, last int8) fleet.LogPosition {
+	return fleet.LogPosition{Term: fleet.Term(st.entryTerm[last]), Position: fleet.Position(length)}
+}
+
+func (e *syncEndpoint) has(id int8) bool { return slices.Contains(e.log[:], id) }
+
+// lossUnderWay reports whether an endpoint is down, or a primary that crashed is being replaced.
+// With sync_replicas 1 a second loss at that time may lose commits.
+func (st *syncState) lossUnderWay() bool {
+	return st.change.formerLost || slices.ContainsFunc(st.endpoints[:], func(e syncEndpoint) bool { return e.down && !e.exited })
+}
+
+func (s *syncSearch) successors(st syncState, f func(action string, next syncState)) {
+	emit := func(action string, change func(*syncState)) {
+		next := st
+		change(&next)
+		if next != st {
+			f(action, next)
+		}
+	}
+	leader := &st.endpoints[st.leader]
+	if !st.change.active && !leader.down {
+		if st.entries < maxEntries && leader.len() < maxEntries {
+			emit("commits", func(x *syncState) {
+				x.entries++
+				x.entryTerm[x.entries] = x.term
+				x.endpoints[x.leader].log[leader.len()] = x.entries
+			})
+		}
+		for id := int8(1); id <= st.entries; id++ {
+			for r := range st.endpoints {
+				if int8(r) != st.leader && leader.has(id) && st.endpoints[r].has(id) {
+					emit(fmt.Sprintf("acknowledges %d", id), func(x *syncState) { x.acked |= 1 << id })
+				}
+			}
+		}
+	}
+	for r := range st.endpoints {
+		e := &st.endpoints[r]
+		name := func(text string) string { return fmt.Sprintf("endpoint %d %s", r, text) }
+		if int8(r) != st.leader && !leader.down && !e.down {
+			emit(name("receives"), func(x *syncState) { x.receive(r) })
+		}
+		if !e.down && st.crashes < s.maxCrashes && !st.lossUnderWay() {
+			emit(name("crashes"), func(x *syncState) {
+				x.endpoints[r].down = true
+				x.crashes++
+				x.change.formerLost = x.change.active && x.change.former == int8(r)
+			})
+		}
+		if e.down && !e.exited && e.listing == inList {
+			emit(name("is back with its log"), func(x *syncState) { x.endpoints[r].down = false })
+		}
+		if !e.leaving && !e.down && st.leaves < s.maxLeaves {
+			emit(name("announces its end"), func(x *syncState) {
+				x.endpoints[r].leaving = true
+				x.leaves++
+			})
+		}
+		if e.leaving && !e.down {
+			emit(name("exits"), func(x *syncState) {
+				x.endpoints[r].down, x.endpoints[r].exited, x.endpoints[r].listing = true, true, lapsed
+			})
+		}
+		if e.exited {
+			emit(name("is succeeded"), func(x *syncState) {
+				n := &x.endpoints[r]
+				n.down, n.exited, n.leaving, n.listing = false, false, false, inList
+				if x.change.active && x.change.former == int8(r) {
+					x.change.former = none
+				}
+			})
+		}
+		switch {
+		case e.exited:
+		case e.listing == inList && (e.down || st.lapses < s.maxLapses):
+			emit(name("lapses"), func(x *syncState) {
+				x.endpoints[r].listing = lapsed
+				if !e.down {
+					x.lapses++
+				}
+			})
+		case e.listing == lapsed && e.down:
+			emit(name("is dropped"), func(x *syncState) { x.endpoints[r].listing = dropped })
+		case e.listing != inList && !e.down:
+			emit(name("is listed again"), func(x *syncState) { x.endpoints[r].listing = inList })
+		}
+	}
+	if st.change.active {
+		s.carryOut(st, emit)
+		return
+	}
+	if st.changes == s.maxChanges {
+		return
+	}
+	begin := func(planned bool) func(*syncState) {
+		return func(x *syncState) {
+			x.changes++
+			x.change = syncChange{active: true, former: x.leader, previousTerm: x.term, planned: planned, formerLost: leader.down && !leader.exited}
+			if planned {
+				x.targetFrom(x.leader)
+			}
+		}
+	}
+	if leader.leaving && !leader.down {
+		var reports []Candidate
+		for r := range st.endpoints {
+			if e := &st.endpoints[r]; int8(r) != st.leader && !e.down && e.listing == inList {
+				reports = append(reports, Candidate{Received: st.position(e.len(), e.last()), Leaving: e.leaving})
+			}
+		}
+		if ReadyForPlannedChange(st.position(leader.len(), leader.last()), reports) {
+			emit("a planned change begins", begin(true))
+		}
+	}
+	if leader.down {
+		emit("a change begins", begin(false))
+	}
+}
+
+// receive gives a replica the next entry of the leader, in place of entries that the leader
+// does not have.
+func (st *syncState) receive(r int) {
+	from, to := &st.endpoints[st.leader], &st.endpoints[r]
+	if to.term > st.term || from.term != st.term {
+		return
+	}
+	to.term = st.term
+	for i := range to.log {
+		if to.log[i] != from.log[i] {
+			next := from.log[i]
+			clear(to.log[i:])
+			to.log[i] = next
+			return
+		}
+	}
+}
+
+// targetFrom reads the log position of the old primary, if it answers.
+func (st *syncState) targetFrom(former int8) {
+	ch, e := &st.change, &st.endpoints[former]
+	ch.targetKnown, ch.targetLen, ch.targetEntry = false, 0, 0
+	if !e.down {
+		ch.targetKnown, ch.targetLen, ch.targetEntry = true, e.len(), e.last()
+	}
+}
+
+// carryOut yields the actions of the holder of a change and what it gets for answers.
+func (s *syncSearch) carryOut(st syncState, emit func(string, func(*syncState))) {
+	ch := &st.change
+	for r := range st.endpoints {
+		e := &st.endpoints[r]
+		if int8(r) == ch.former || e.down || e.listing == dropped || e.listing == lapsed && s.forgetLapsed {
+			continue
+		}
+		emit(fmt.Sprintf("endpoint %d answers", r), func(x *syncState) {
+			x.change.answered[r] = syncAnswer{true, e.len(), e.last(), e.term, x.leader == int8(r) && x.term > ch.previousTerm}
+		})
+	}
+	if ch.targetKnown && (ch.former == none || st.endpoints[ch.former].down) {
+		emit("the old primary does not answer any more", func(x *syncState) { x.change.targetKnown = false })
+	}
+	if st.stops < s.maxStops {
+		emit("another instance takes the change over", func(x *syncState) {
+			x.stops++
+			x.change.answered, x.change.refused = [groupSize]syncAnswer{}, [groupSize]bool{}
+			if ch.planned && ch.former != none {
+				x.targetFrom(ch.former)
+			}
+		})
+	}
+	evidence := Evidence{SyncReplicas: syncOne}
+	if ch.targetKnown && !s.ignoreFormer {
+		evidence.Former = st.position(ch.targetLen, ch.targetEntry)
+	}
+	for r := range st.endpoints {
+		a, e := ch.answered[r], &st.endpoints[r]
+		switch {
+		case int8(r) == ch.former:
+			if e.exited && !s.forgetSuccessor {
+				evidence.Missing += syncOne
+			}
+		case ch.refused[r] && s.forgetRefused:
+		case a.known:
+			evidence.Candidates = append(evidence.Candidates, Candidate{Endpoint: fleet.EndpointID('0' + rune(r)), Received: st.position(a.len, a.last),
+				Term: fleet.Term(a.term), TakenOver: a.primary, Leaving: e.leaving, Refused: ch.refused[r]})
+		case e.listing == inList || e.listing == lapsed && !s.forgetLapsed:
+			evidence.Missing++
+			if s.promoteUnanswered {
+				evidence.Candidates = append(evidence.Candidates, Candidate{Endpoint: fleet.EndpointID('0' + rune(r))})
+			}
+		}
+	}
+	if s.firstAnswerDecides || s.promoteUnanswered {
+		evidence.Missing = 0
+	}
+	sync := syncOne
+	if s.availabilityFirst {
+		sync = 0
+	}
+	best, ok := Choose(evidence.Candidates, sync)
+	if !ok || !s.availabilityFirst && !evidence.HoldsAcknowledged(best) {
+		return
+	}
+	chosen := int(best.Endpoint[0] - '0')
+	if st.endpoints[chosen].down || st.refusals < s.maxRefusals {
+		emit(fmt.Sprintf("the platform refuses endpoint %d", chosen), func(x *syncState) {
+			x.change.refused[chosen] = true
+			if !st.endpoints[chosen].down {
+				x.refusals++
+			}
+		})
+	}
+	if st.endpoints[chosen].down {
+		return
+	}
+	lead := func(x *syncState) {
+		if x.leader != int8(chosen) || x.term == ch.previousTerm {
+			x.leader = int8(chosen)
+			x.term++
+			x.endpoints[chosen].term = x.term
+		}
+	}
+	emit(fmt.Sprintf("endpoint %d takes over", chosen), lead)
+	emit(fmt.Sprintf("endpoint %d takes over and the record is settled", chosen), func(x *syncState) {
+		lead(x)
+		x.change = syncChange{}
+	})
+}
+
+// maxSyncStates bounds the states that one search keeps; a search that reaches it fails.
+const maxSyncStates = 3_000_000
+
+type syncOrigin struct {
+	parent uint64
+	action string
+}
+
+// run visits the reachable states in breadth-first order and returns the shortest play that
+// promotes an endpoint without an acknowledged commit, or "", and the number of states.
+func (s *syncSearch) run() (play string, states int) {
+	seed := maphash.MakeSeed()
+	hash := func(st syncState) uint64 { return maphash.Comparable(seed, st) }
+	first := syncState{term: 1}
+	for i := range first.endpoints {
+		first.endpoints[i].term = 1
+	}
+	origins := map[uint64]syncOrigin{hash(first): {}}
+	for queue := []syncState{first}; len(queue) > 0 && play == "" && len(origins) < maxSyncStates; {
+		var next []syncState
+		for _, st := range queue {
+			parent := hash(st)
+			s.successors(st, func(action string, to syncState) {
+				h := hash(to)
+				if _, known := origins[h]; known || play != "" {
+					return
+				}
+				origins[h] = syncOrigin{parent, action}
+				next = append(next, to)
+				if id := to.lost(); to.term != st.term && id != 0 {
+					play = fmt.Sprintf("%s; it lacks commit %d", describeSync(origins, h, hash(first)), id)
+				}
+			})
+		}
+		queue = next
+	}
+	return play, len(origins)
+}
+
+// lost returns an acknowledged commit that the primary lacks, or 0.
+func (st *syncState) lost() int8 {
+	for id := int8(1); id <= st.entries; id++ {
+		if st.acked&(1<<id) != 0 && !st.endpoints[st.leader].has(id) {
+			return id
+		}
+	}
+	return 0
+}
+
+// describeSync lists the actions that lead to a state.
+func describeSync(origins map[uint64]syncOrigin, at, first uint64) string {
+	var lines []string
+	for ; at != first; at = origins[at].parent {
+		lines = append(lines, origins[at].action)
+	}
+	slices.Reverse(lines)
+	return strings.Join(lines, "; ")
+}
+
+// Guards against the loss of acknowledged commits of a group with synchronous replicas at a
+// change of its primary.
+func TestPromotedEndpointHasAcknowledgedCommits(t *testing.T) {
+	for _, s := range []syncSearch{
+		{maxChanges: 2, maxCrashes: 2},
+		{maxChanges: 1, maxCrashes: 1, maxLeaves: 1},
+		{maxChanges: 1, maxCrashes: 1, maxLapses: 1, maxRefusals: 1, maxStops: 1},
+	} {
+		play, states := s.run()
+		t.Logf("%d changes, %d crashes, %d leave, %d lapse, %d refusals, %d holders stop: %d states", s.maxChanges, s.maxCrashes, s.maxLeaves,
+			s.maxLapses, s.maxRefusals, s.maxStops, states)
+		assert.Equal(t, play, "")
+		assert.Assert(t, states < maxSyncStates)
+	}
+}
+
+// Each case breaks one rule, and the search must find a violation.
+func TestSyncSearchDetectsMutations(t *testing.T) {
+	for name, s := range map[string]syncSearch{
+		"a leaving endpoint comes last":           {availabilityFirst: true, maxChanges: 1, maxCrashes: 1, maxLeaves: 1},
+		"the first answer decides":                {firstAnswerDecides: true, maxChanges: 1, maxCrashes: 1},
+		"a refused endpoint is forgotten":         {forgetRefused: true, maxChanges: 1, maxCrashes: 1, maxRefusals: 1},
+		"any endpoint if none answers":            {promoteUnanswered: true, maxChanges: 1, maxCrashes: 1},
+		"an endpoint whose entry lapsed is gone":  {forgetLapsed: true, maxChanges: 1, maxCrashes: 1, maxLapses: 1},
+		"the successor of a primary is forgotten": {forgetSuccessor: true, maxChanges: 2, maxCrashes: 1, maxLeaves: 1},
+		"the log of the old primary is ignored":   {ignoreFormer: true, maxChanges: 1, maxCrashes: 1, maxLeaves: 1},
+	} {
+		play, states := s.run()
+		t.Logf("%s: %d states: %s", name, states, play)
+		assert.Assert(t, play != "", "mutation not detected: %s", name)
+	}
+}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -87,6 +87,9 @@
 	// Term is the highest term that the endpoint knows.
 	Term    fleet.Term
 	Leaving bool
+	// Refused marks an endpoint that the platform did not promote. Its log still shows what
+	// was acknowledged.
+	Refused bool
 	// TakenOver marks an endpoint that an earlier holder of this change has promoted.
 	TakenOver bool
 	// Suspect marks an endpoint that was the primary before the last one, or that still
@@ -99,27 +102,78 @@
 
 // Choose returns the candidate to promote: one that has taken over already, since callers
 // may have commits there, or the one with the highest log position, so that as few commits
-// as possible are lost. A leaving or suspect endpoint is chosen
-// only if there is no other. Choose returns false if there are no candidates.
-func Choose(candidates []Candidate) (Candidate, bool) {
-	if len(candidates) == 0 {
+// as possible are lost. Without synchronous replicas a leaving or suspect endpoint is chosen
+// only if there is no other; with them the position decides, since any commit may have been
+// acknowledged. Choose returns false if there is no candidate that may be promoted.
+func Choose(candidates []Candidate, syncReplicas int) (Candidate, bool) {
+	allowed := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Refused })
+	if len(allowed) == 0 {
 		return Candidate{}, false
 	}
 	newest := HighestTerm(0, candidates)
-	return slices.MaxFunc(candidates, func(a, b Candidate) int {
-		// An endpoint that leads an older term than another one knows was cut off.
+	return slices.MaxFunc(allowed, func(a, b Candidate) int {
+		availability := cmp.Or(compareBool(!a.Leaving, !b.Leaving), compareBool(!a.Suspect, !b.Suspect))
+		first := availability
+		if syncReplicas > 0 {
+			first = 0
+		}
 		return cmp.Or(
+			// An endpoint that leads an older term than another one knows was cut off.
 			compareBool(a.TakenOver && a.Term == newest, b.TakenOver && b.Term == newest),
-			compareBool(!a.Leaving, !b.Leaving),
-			compareBool(!a.Suspect, !b.Suspect),
-			cmp.Compare(a.Received.Term, b.Received.Term),
-			cmp.Compare(a.Received.Position, b.Received.Position),
+			first,
+			a.Received.Compare(b.Received),
+			availability,
 			compareBool(a.SameDataCentre, b.SameDataCentre),
 			cmp.Compare(b.Endpoint, a.Endpoint),
 		)
 	}), true
 }
 
+// Evidence is what the holder of a change knows of the logs of a group with synchronous
+// replicas, once no instance uses the old primary any more.
+type Evidence struct {
+	// SyncReplicas is the number of replicas that have received a commit before it is
+	// acknowledged, 0 if replication is asynchronous.
+	SyncReplicas int
+	// Candidates are the replicas that have reported their positions.
+	Candidates []Candidate
+	// Missing counts the other endpoints that may have received acknowledged commits.
+	Missing int
+	// Former is the last position of the old primary in a planned change, zero if the old
+	// primary does not answer. Replicas that receive from it reach this position.
+	Former fleet.LogPosition
+}
+
+// HoldsAcknowledged reports whether the log of the chosen candidate is known to hold every
+// acknowledged commit: it has all that the old primary has or, if that is not known, all that
+// any of the candidates has received, and too few endpoints are missing for a commit to have
+// been acknowledged by them alone.
+func (e Evidence) HoldsAcknowledged(chosen Candidate) bool {
+	switch {
+	case e.SyncReplicas == 0, chosen.TakenOver && chosen.Term == HighestTerm(0, e.Candidates):
+		return true
+	case e.Former != (fleet.LogPosition{}):
+		return chosen.Received.Compare(e.Former) >= 0
+	}
+	return e.Missing < e.SyncReplicas &&
+		!slices.ContainsFunc(e.Candidates, func(c Candidate) bool { return c.Received.Compare(chosen.Received) > 0 })
+}
+
+// MaxAcknowledgedWait bounds the time for which a group with synchronous replicas goes
+// without a primary because an endpoint that may hold acknowledged commits does not answer.
+// The platform's list drops an endpoint that has stopped within a few seconds; only one that
+// is listed and unreachable is waited for longer.
+const MaxAcknowledgedWait = 30 * time.Second
+
+// ReadyForPlannedChange reports whether a planned change of a group with synchronous replicas
+// may begin: a replica that stays has received what its primary had. Until then the primary
+// is the only endpoint with all commits, and it still serves.
+func ReadyForPlannedChange(primary fleet.LogPosition, replicas []Candidate) bool {
+	return slices.ContainsFunc(replicas, func(c Candidate) bool {
+		return !c.Leaving && c.Received.Compare(primary) >= 0
+	})
+}
+
 // HasTakenOver reports whether a promoted endpoint is now the primary, at a term above
 // all that were known before the promotion. Until then a former primary that was cut
 // off may still report itself as primary at its old term.
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -17,7 +17,7 @@
 // would be lost (found in run hunt-cf85-47).
 func TestFormerPrimaryHasNotTakenOver(t *testing.T) {
 	candidates := []Candidate{{Endpoint: "former", Term: 1, TakenOver: true, Suspect: true}, {Endpoint: "other", Term: 2}}
-	best, _ := Choose(candidates)
+	best, _ := Choose(candidates, 0)
 	assert.Equal(t, best.Endpoint, fleet.EndpointID("other"))
 	before := TermBefore(1, catalog.Leadership{}, candidates[0], candidates)
 	assert.Equal(t, before, fleet.Term(2))
@@ -34,12 +34,12 @@
 	best, ok := Choose([]Candidate{
 		{Endpoint: "suspect", Received: at(194), Suspect: true}, {Endpoint: "behind", Received: at(183)},
 		{Endpoint: "leaving", Received: at(200), Leaving: true}, {Endpoint: "ahead", Received: at(190)},
-	})
+	}, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, best.Endpoint, fleet.EndpointID("ahead"))
-	best, _ = Choose([]Candidate{{Endpoint: "b", Received: at(1), Leaving: true}, {Endpoint: "a", Received: at(1), Leaving: true}})
+	best, _ = Choose([]Candidate{{Endpoint: "b", Received: at(1), Leaving: true}, {Endpoint: "a", Received: at(1), Leaving: true}}, 0)
 	assert.Equal(t, best.Endpoint, fleet.EndpointID("a"))
-	_, ok = Choose(nil)
+	_, ok = Choose(nil, 0)
 	assert.Assert(t, !ok)
 }
 
@@ -95,3 +95,13 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, at, time.Second+lease.Duration+effectMargin)
 }
+
+// Guards against callers without a primary while the leaving one still serves: no replica that
+// stays has its log yet.
+func TestPlannedChangeWaitsForAReplicaThatStays(t *testing.T) {
+	at := func(n uint64) fleet.LogPosition { return fleet.LogPosition{Term: 2, Position: fleet.Position(n)} }
+	assert.Assert(t, !ReadyForPlannedChange(at(5), nil))
+	assert.Assert(t, !ReadyForPlannedChange(at(5), []Candidate{{Received: at(5), Leaving: true}, {Received: at(4)}}))
+	assert.Assert(t, !ReadyForPlannedChange(at(5), []Candidate{{Received: fleet.LogPosition{Term: 1, Position: 9}}}))
+	assert.Assert(t, ReadyForPlannedChange(at(5), []Candidate{{Received: at(5)}}))
+}
--- a/edge/app/sync_test.go
+++ b/edge/app/sync_test.go
@@ -53,6 +53,55 @@
 	}
 }
 
+// Guards against acknowledged commits that are lost because the only replica that has them is
+// leaving (review/2).
+func TestLeavingReplicaWithAcknowledgedCommitsIsPromoted(t *testing.T) {
+	f, c := syncFleet(t)
+	f.endpoints[1].Drain()
+	f.endpoints[2].SetDeaf(true)
+	items := c.write("roof", 20)
+	assert.Equal(t, len(items), 20)
+	f.endpoints[0].Crash()
+	f.assertLeads(c, f.endpoints[1], items)
+	// The replica that lacks the commits takes over only once it has them.
+	time.Sleep(1500 * time.Millisecond)
+	assert.Assert(t, !f.endpoints[2].IsPrimary())
+	f.endpoints[2].SetDeaf(false)
+	f.assertLeads(c, f.endpoints[2], items)
+}
+
+// Guards against acknowledged commits that are lost because the only replica that has them was
+// the primary before the last one (review/2, second form).
+func TestFormerPrimaryWithAcknowledgedCommitsIsPromoted(t *testing.T) {
+	f, c := syncFleet(t)
+	items := c.write("roof", 5)
+	f.endpoints[0].Crash()
+	f.waitUntil(5*time.Second, func() bool { return succeeded(c.query("PUT roof again")) })
+	primary, deaf := f.endpoints[1], f.endpoints[2]
+	if deaf.IsPrimary() {
+		primary, deaf = deaf, primary
+	}
+	assert.NilError(t, f.endpoints[0].Restart())
+	f.waitUntil(5*time.Second, func() bool { return succeeded(c.query("PUT roof again")) })
+	deaf.SetDeaf(true)
+	more := c.write("wall", 20)
+	assert.Equal(t, len(more), 20)
+	primary.Crash()
+	f.assertLeads(c, f.endpoints[0], append(items, more...))
+}
+
+// Guards against acknowledged commits that are lost because the replica that has them answers
+// later than one that lacks them.
+func TestSlowReplicaWithAcknowledgedCommitsIsPromoted(t *testing.T) {
+	f, c := syncFleet(t)
+	f.endpoints[2].SetDeaf(true)
+	items := c.write("roof", 20)
+	assert.Equal(t, len(items), 20)
+	f.endpoints[1].SetCommandDelay(300 * time.Millisecond)
+	f.endpoints[0].Crash()
+	f.assertLeads(c, f.endpoints[1], items)
+}
+
 // Guards against commits that no replica acknowledges any more, because those that were paused
 // for a change of primary stay paused.
 func TestReplicasReceiveAgainAfterChange(t *testing.T) {
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -27,14 +27,6 @@
 	confirmTimeout = plannedChangeGrace + 200*time.Millisecond
 	// changePollInterval is the polling interval of the steps of a change.
 	changePollInterval = 20 * time.Millisecond
-	// otherReplicasWait bounds the wait for the remaining replicas to report their
-	// positions once one has reported, and firstReplicaTimeout the wait for the
-	// first one.
-	otherReplicasWait   = 150 * time.Millisecond
-	firstReplicaTimeout = 600 * time.Millisecond
-	// catchUpTimeout bounds the wait, in a planned change, for a replica to receive
-	// the whole log of the old primary.
-	catchUpTimeout = 800 * time.Millisecond
 	// endpointCallTimeout bounds one internal statement at an endpoint.
 	endpointCallTimeout = 400 * time.Millisecond
 	// promoteTimeout bounds one call to the platform to promote an endpoint.
@@ -54,10 +46,15 @@
 			return // the controller has stopped
 		}
 	}()
-	if cause == takeover.Unreachable {
+	switch cause {
+	case takeover.Unreachable:
 		if !c.peersConfirmUnreachable(ctx, old, addr) {
 			return
 		}
+	case takeover.Leaving, takeover.Gone:
+		if !c.readyForPlannedChange(ctx, old, cause) {
+			return
+		}
 	}
 	ch := &primaryChange{ctl: c, old: old, cause: cause, startedAt: c.Clock.Now()}
 	if !ch.claim(ctx) || !ch.awaitOldPrimaryUnused(ctx) {
@@ -150,6 +147,8 @@
 	if !old.Settled {
 		// The primary from before the unfinished change may still be in use.
 		l.Former = old.Former
+		// It may be the only one with all acknowledged commits.
+		l.Planned = old.Planned && c.View().Catalog.Groups[old.Group].SyncReplicas > 0
 	}
 	l.Revision, l.RenewedEra = old.Revision, old.RenewedEra
 	l = l.Next(c.era.Load())
@@ -350,96 +349,115 @@
 	return &peerrpc.ReachResponse{Reachable: c.Pool.Reachable(req.Endpoint, req.Addr)}, nil
 }
 
-// promote chooses the most advanced replica, promotes it and waits until it is
-// the primary. It tries other replicas if the platform rejects the chosen one.
+// promote promotes the most advanced replica and waits until it is the primary. In a group
+// with synchronous replicas it asks for their logs until one is known to hold all acknowledged
+// commits.
 func (ch *primaryChange) promote(ctx context.Context) bool {
 	c := ch.ctl
-	var replicas []catalog.Endpoint
-	var former catalog.Endpoint
-	syncReplicas := 0
-	if c.runInLoop(ctx, func() {
-		for _, e := range c.listedByGroup[ch.old.Group] {
-			if e.ID != ch.record.Former {
-				replicas = append(replicas, e)
+	candidates := 0
+	for ch.claimValid(ctx) {
+		var g groupEndpoints
+		if c.runInLoop(ctx, func() { g = c.groupEndpoints(ch.old.Group, ch.record.Former) }) != nil {
+			return false
+		}
+		// A demoted primary may stop sending its log to the replicas, so its position is
+		// read before it is demoted, and collectPositions waits for a replica to reach it.
+		// With synchronous replicas it goes on sending until then.
+		former := ch.formerPosition(ctx, g.former)
+		planned := former != (fleet.LogPosition{})
+		if g.syncReplicas == 0 || !planned {
+			ch.demoteFormer(g.former)
+		}
+		ask := stmt.Statement{Kind: stmt.Status}
+		switch {
+		case g.syncReplicas > 0 && planned:
+			// An earlier holder or an earlier round may have paused them.
+			ask = stmt.Statement{Kind: stmt.Resume}
+		case g.syncReplicas > 0:
+			// Replicas that stop receiving acknowledge no more commits of the old
+			// primary.
+			ask = stmt.Statement{Kind: stmt.Pause, Term: ch.record.Term}
+		}
+		previousTerm := takeover.FormerTerm(ch.record, c.Pool.Term(ch.old.Group))
+		evidence := ch.collectPositions(ctx, g, ask, former, previousTerm)
+		candidates = len(evidence.Candidates)
+		if ch.promoteBest(ctx, g, evidence, previousTerm) {
+			if g.syncReplicas > 0 {
+				c.resumeReplicas(ch.record, g.replicas)
 			}
+			return true
+		}
+		if g.syncReplicas == 0 || !sleep(ctx, changePollInterval) {
+			break
 		}
-		former = c.lastEntries[ch.record.Former]
-		syncReplicas = c.catalog.Groups[ch.old.Group].SyncReplicas
-	}) != nil {
-		return false
 	}
-	ask := stmt.Statement{Kind: stmt.Status}
-	if syncReplicas > 0 {
-		// Replicas that stop receiving acknowledge no more commits of the old
-		// primary.
-		ask = stmt.Statement{Kind: stmt.Pause, Term: ch.record.Term}
-	}
-	formerPosition := ch.demoteFormer(ctx, former)
-	previousTerm := takeover.FormerTerm(ch.record, c.Pool.Term(ch.old.Group))
-	candidates := ch.collectPositions(ctx, replicas, ask, formerPosition, previousTerm)
-	for len(candidates) > 0 && ch.claimValid(ctx) {
-		best, _ := takeover.Choose(candidates)
-		previousTerm := takeover.TermBefore(previousTerm, ch.record, best, candidates)
+	c.Log.Warn("control: change of primary failed; no replica was promoted", "group", string(ch.old.Group), "candidates", candidates)
+	return false
+}
+
+// promoteBest promotes the best candidate, or another one that is as good if the platform
+// refuses it. It returns false if there is none, or none that is known to hold all acknowledged
+// commits.
+func (ch *primaryChange) promoteBest(ctx context.Context, g groupEndpoints, evidence takeover.Evidence, previousTerm fleet.Term) bool {
+	c := ch.ctl
+	for ch.claimValid(ctx) {
+		best, ok := takeover.Choose(evidence.Candidates, evidence.SyncReplicas)
+		if !ok {
+			return false
+		}
+		if !evidence.HoldsAcknowledged(best) {
+			if !ch.acknowledgedWaitIsOver(ctx) {
+				c.Log.Info("control: waiting for endpoints that may hold acknowledged commits", "group", string(ch.old.Group),
+					"missing", evidence.Missing, "best", string(best.Endpoint))
+				return false
+			}
+			c.Metrics.Count("promotions_unproved")
+			c.Log.Warn("control: the new primary may lack acknowledged commits; the endpoints that may hold them did not answer in time",
+				"group", string(ch.old.Group), "endpoint", string(best.Endpoint), "missing", evidence.Missing,
+				"waited_ms", takeover.MaxAcknowledgedWait.Milliseconds())
+		}
+		if evidence.SyncReplicas > 0 && evidence.Former != (fleet.LogPosition{}) {
+			ch.demoteFormer(g.former)
+		}
+		termBefore := takeover.TermBefore(previousTerm, ch.record, best, evidence.Candidates)
 		call, cancel := context.WithTimeout(ctx, min(promoteTimeout, ch.timeLeft()))
 		err := c.Promoter.Promote(call, ch.old.Group, best.Endpoint, ch.record.Version, func() bool { return ch.timeLeft() > 0 })
 		cancel()
 		c.Metrics.Count("promotions")
 		c.Log.Info("control: promotion requested", "group", string(ch.old.Group), "endpoint", string(best.Endpoint),
 			"fence", ch.record.Version, "received", uint64(best.Received.Position), "received_term", uint64(best.Received.Term),
-			"former_had", uint64(formerPosition.Position), "error", errorText(err))
+			"former_had", uint64(evidence.Former.Position), "error", errorText(err))
 		switch {
 		case err == nil:
-			if term, ok := ch.awaitTakeover(ctx, replicas, best.Endpoint, previousTerm); ok {
+			if term, ok := ch.awaitTakeover(ctx, g.replicas, best.Endpoint, termBefore); ok {
 				ch.record.Primary, ch.record.PrimaryTerm, ch.record.Settled = best.Endpoint, term, true
 				ch.record.Revision++
-				if syncReplicas > 0 {
-					c.resumeReplicas(ch.record, replicas)
-				}
 				return true
 			}
 		case c.Promoter.IsRefusal(err):
-			remaining := candidates[:0]
-			for _, o := range candidates {
-				if o.Endpoint != best.Endpoint {
-					remaining = append(remaining, o)
+			for i := range evidence.Candidates {
+				if evidence.Candidates[i].Endpoint == best.Endpoint {
+					evidence.Candidates[i].Refused = true
 				}
 			}
-			candidates = remaining
 		}
 		if !sleep(ctx, changePollInterval) {
 			return false
 		}
 	}
-	c.Log.Warn("control: change of primary failed; no replica was promoted", "group", string(ch.old.Group), "candidates", len(candidates))
 	return false
 }
 
-// resumeReplicas lets the replicas that were paused for a change receive from the new primary,
-// unless the next change has begun.
-func (c *Controller) resumeReplicas(settled catalog.Leadership, replicas []catalog.Endpoint) {
-	for _, e := range replicas {
-		if e.ID == settled.Primary {
-			continue
-		}
-		go func() {
-			for deadline := c.Clock.Now() + settleTimeout; c.Clock.Now() < deadline; {
-				var current catalog.Leadership
-				if c.runInLoop(c.ctx, func() { current = c.leadership(settled.Group) }) != nil ||
-					current.Order() > settled.Order() && (!current.Settled || current.PrimaryTerm != settled.PrimaryTerm) {
-					return
-				}
-				_, err := c.runEndpointCommand(e, stmt.Statement{Kind: stmt.Resume})
-				if err == nil {
-					return
-				}
-				if !sleep(c.ctx, 5*changePollInterval) {
-					c.Log.Info("control: replica not resumed", "endpoint", string(e.ID), "error", err.Error())
-					return
-				}
-			}
-			c.Log.Info("control: replica not resumed; it does not answer", "endpoint", string(e.ID))
-		}()
+// acknowledgedWaitIsOver reports whether the group has been without a primary for
+// takeover.MaxAcknowledgedWait.
+func (ch *primaryChange) acknowledgedWaitIsOver(ctx context.Context) bool {
+	over := false
+	if ch.ctl.runInLoop(ctx, func() {
+		over = ch.ctl.Clock.Now() >= ch.ctl.groupState(ch.old.Group).unsettledSince+takeover.MaxAcknowledgedWait
+	}) != nil {
+		return false
 	}
+	return over
 }
 
 func errorText(err error) string {
@@ -449,99 +467,39 @@
 	return err.Error()
 }
 
-// demoteFormer demotes the old primary if it can be reached. In a planned change
-// it returns the log position that the old primary had; in an unplanned one it
-// does not wait for an answer.
-func (ch *primaryChange) demoteFormer(ctx context.Context, former catalog.Endpoint) fleet.LogPosition {
+// demoteFormer demotes the old primary if it can be reached. It does not wait for that.
+func (ch *primaryChange) demoteFormer(former catalog.Endpoint) {
 	if former.ID == "" {
-		return fleet.LogPosition{}
+		return
 	}
-	demote := func() fleet.LogPosition {
+	go func() {
 		s, err := ch.ctl.runEndpointCommand(former, stmt.Statement{Kind: stmt.Demote, Term: ch.record.Term})
 		if err != nil {
 			ch.ctl.Log.Info("control: old primary not demoted", "endpoint", string(former.ID), "error", err.Error())
-			return fleet.LogPosition{}
+			return
 		}
 		ch.ctl.Log.Info("control: old primary demoted", "endpoint", string(former.ID), "position", uint64(s.Received.Position))
-		return s.Received
-	}
-	if !ch.record.Planned {
-		go demote()
+	}()
+}
+
+// formerPosition returns the log position of the old primary in a planned change, zero if it
+// does not answer.
+func (ch *primaryChange) formerPosition(ctx context.Context, former catalog.Endpoint) fleet.LogPosition {
+	if former.ID == "" || !ch.record.Planned {
 		return fleet.LogPosition{}
 	}
-	// A demoted primary may stop sending its log to the replicas, so its position
-	// is read before it is demoted, and collectPositions waits for a replica to
-	// reach it.
 	for deadline := ch.ctl.Clock.Now() + endpointCallTimeout; ch.ctl.Clock.Now() < deadline; {
 		s, err := ch.ctl.runEndpointCommand(former, stmt.Statement{Kind: stmt.Status})
 		if err == nil {
-			go demote()
 			return s.Received
 		}
 		if !sleep(ctx, changePollInterval) {
 			break
 		}
 	}
-	go demote()
 	return fleet.LogPosition{}
 }
 
-// collectPositions asks the replicas for their log positions. It waits until one
-// replica has target, and then up to otherReplicasWait for the rest. An endpoint that leads a
-// term above previousTerm has taken over.
-func (ch *primaryChange) collectPositions(ctx context.Context, replicas []catalog.Endpoint, ask stmt.Statement, target fleet.LogPosition, previousTerm fleet.Term) []takeover.Candidate {
-	c := ch.ctl
-	var mu sync.Mutex
-	found := map[fleet.EndpointID]takeover.Candidate{}
-	query, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
-	for _, e := range replicas {
-		go func() {
-			for query.Err() == nil {
-				s, err := c.runEndpointCommand(e, ask)
-				if err == nil {
-					mu.Lock()
-					found[e.ID] = takeover.Candidate{Endpoint: e.ID, Received: s.Received, Term: max(s.Term, s.Received.Term),
-						TakenOver: takeover.HasTakenOver(s, previousTerm), Leaving: e.Leaving, Suspect: s.Primary || e.ID == ch.old.Former, SameDataCentre: e.DataCentre == c.Self.DataCentre}
-					mu.Unlock()
-					if target.Max(s.Received) == s.Received {
-						return
-					}
-				}
-				if !sleep(query, changePollInterval) {
-					return
-				}
-			}
-		}()
-	}
-	start := c.Clock.Now()
-	for {
-		mu.Lock()
-		all := make([]takeover.Candidate, 0, len(replicas))
-		reached := false
-		for _, k := range found {
-			all = append(all, k)
-			reached = reached || target.Max(k.Received) == k.Received && !k.Leaving
-		}
-		mu.Unlock()
-		waited := c.Clock.Now() - start
-		switch {
-		case reached && (len(all) == len(replicas) || waited >= otherReplicasWait),
-			len(all) > 0 && waited >= catchUpTimeout-changePollInterval:
-			return all
-		case len(all) == 0 && waited >= firstReplicaTimeout:
-			// No replica answers. Promoting any of them is better than none.
-			for _, e := range replicas {
-				all = append(all, takeover.Candidate{Endpoint: e.ID, Leaving: e.Leaving, SameDataCentre: e.DataCentre == c.Self.DataCentre})
-			}
-			return all
-		}
-		if !sleep(ctx, changePollInterval/2) {
-			return nil
-		}
-	}
-}
-
 // awaitTakeover waits until the promoted endpoint reports that it is the primary
 // at a term above previousTerm, and returns that term.
 func (ch *primaryChange) awaitTakeover(ctx context.Context, replicas []catalog.Endpoint, id fleet.EndpointID, previousTerm fleet.Term) (fleet.Term, bool) {
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -176,6 +176,11 @@
 	// changeStartedAt is when this instance last began a change. A change for an
 	// unreachable primary begins by asking the other instances about it.
 	changeStartedAt time.Duration
+	// plannedChangeAt is when a planned change that was put off is considered again.
+	plannedChangeAt time.Duration
+	// unsettledSince is when this instance learned of the first of the unsettled records
+	// since the last settled one.
+	unsettledSince time.Duration
 	// joining is set while this instance registers as a user of the primary. nextJoin
 	// is when it may try again, and joinRequestedAt when a statement last needed it.
 	joining                   bool
@@ -355,6 +360,9 @@
 		g.changedVersion, g.changedOrder = l.Version, l.Order()
 	}
 	g.record, g.learnedAt = l, c.Clock.Now()
+	if !l.Settled && (old.Settled || old.Version == 0) {
+		g.unsettledSince = g.learnedAt
+	}
 	if l.RenewedEra > old.RenewedEra {
 		g.renewedAt = g.learnedAt
 	}
@@ -519,6 +527,9 @@
 		if cause == takeover.None || c.leaving || !c.registered() || cause == takeover.Unreachable && now < g.changeStartedAt+reachRetryInterval {
 			continue
 		}
+		if (cause == takeover.Leaving || cause == takeover.Gone) && now < g.plannedChangeAt {
+			continue
+		}
 		g.changing, g.changeStartedAt = true, now
 		go c.replacePrimary(ctx, c.leadership(id), cause, addr)
 	}
--- /dev/null
+++ b/edge/control/positions.go
@@ -0,0 +1,230 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
+	"github.com/vanillahinge/vanillahinge/core/takeover"
+)
+
+const (
+	// otherReplicasWait bounds the wait for the remaining replicas to report their
+	// positions once one has reported, and firstReplicaTimeout the wait for the
+	// first one.
+	otherReplicasWait   = 150 * time.Millisecond
+	firstReplicaTimeout = 600 * time.Millisecond
+	// catchUpTimeout bounds the wait, in a planned change, for a replica to receive
+	// the whole log of the old primary, and each wait for the positions of synchronous
+	// replicas.
+	catchUpTimeout = 800 * time.Millisecond
+	// plannedChangeRetry is the pause before a planned change that was put off is
+	// considered again.
+	plannedChangeRetry = 500 * time.Millisecond
+)
+
+// groupEndpoints are the endpoints of a group that take part in a change of its primary.
+type groupEndpoints struct {
+	former   catalog.Endpoint
+	replicas []catalog.Endpoint
+	// successorDue is set while the old primary has left as announced and the endpoint that
+	// gets its log and its address is not listed yet.
+	successorDue bool
+	syncReplicas int
+}
+
+// groupEndpoints returns the endpoints of a group other than former. With synchronous replicas
+// an endpoint that has just left the list is one of them, unless another one has its address
+// and so its log: it may be the only one with the latest commits.
+func (c *Controller) groupEndpoints(id fleet.GroupID, former fleet.EndpointID) groupEndpoints {
+	g := groupEndpoints{former: c.lastEntries[former], syncReplicas: c.catalog.Groups[id].SyncReplicas}
+	addrs := map[string]bool{}
+	for _, e := range c.listedByGroup[id] {
+		addrs[e.Addr] = true
+		if e.ID != former {
+			g.replicas = append(g.replicas, e)
+		}
+	}
+	if g.syncReplicas == 0 {
+		return g
+	}
+	for eid := range c.unlisted {
+		switch e := c.lastEntries[eid]; {
+		case e.Group != id || addrs[e.Addr]:
+		case eid == former:
+			g.successorDue = e.Leaving
+		default:
+			g.replicas = append(g.replicas, e)
+		}
+	}
+	return g
+}
+
+// readyForPlannedChange reports whether a planned change of a group may begin; see
+// takeover.ReadyForPlannedChange. Otherwise the change is put off.
+func (c *Controller) readyForPlannedChange(ctx context.Context, old catalog.Leadership, cause takeover.Cause) bool {
+	var g groupEndpoints
+	if c.runInLoop(ctx, func() { g = c.groupEndpoints(old.Group, old.Primary) }) != nil {
+		return false
+	}
+	if g.syncReplicas == 0 {
+		return true
+	}
+	primary, err := c.runEndpointCommand(g.former, stmt.Statement{Kind: stmt.Status})
+	if err != nil {
+		if _, failing := c.Pool.FailingSince(old.Primary); failing || cause == takeover.Gone {
+			return true // there is nothing to wait for
+		}
+	} else {
+		reports := c.askReplicas(ctx, g.replicas, stmt.Statement{Kind: stmt.Status}, primary.Received)
+		defer reports.stop()
+		for deadline := c.Clock.Now() + catchUpTimeout; c.Clock.Now() < deadline; {
+			if takeover.ReadyForPlannedChange(primary.Received, reports.candidates(old.Former, 0)) {
+				return true
+			}
+			if !sleep(ctx, changePollInterval) {
+				return false
+			}
+		}
+	}
+	c.Log.Info("control: planned change of primary put off; no replica that stays has the whole log", "group", string(old.Group),
+		"primary", string(old.Primary), "position", uint64(primary.Received.Position), "error", errorText(err))
+	if c.runInLoop(ctx, func() { c.groupState(old.Group).plannedChangeAt = c.Clock.Now() + plannedChangeRetry }) != nil {
+		return false // the controller has stopped
+	}
+	return false
+}
+
+// collectPositions asks the replicas for their log positions. It waits until one replica that
+// stays has the position of the former primary, if that is known, or, with synchronous replicas,
+// until one is known to hold all acknowledged commits, and then up to otherReplicasWait for the
+// rest. An endpoint that leads a term above previousTerm has taken over.
+func (ch *primaryChange) collectPositions(ctx context.Context, g groupEndpoints, ask stmt.Statement, former fleet.LogPosition, previousTerm fleet.Term) takeover.Evidence {
+	c := ch.ctl
+	reports := c.askReplicas(ctx, g.replicas, ask, former)
+	defer reports.stop()
+	start := c.Clock.Now()
+	for {
+		e := takeover.Evidence{SyncReplicas: g.syncReplicas, Candidates: reports.candidates(ch.old.Former, previousTerm), Former: former}
+		e.Missing = len(g.replicas) - len(e.Candidates)
+		if g.successorDue {
+			e.Missing += g.syncReplicas // it has all commits, so that any of them may be there alone
+		}
+		reached := slices.ContainsFunc(e.Candidates, func(k takeover.Candidate) bool {
+			return !k.Leaving && k.Received.Compare(former) >= 0
+		})
+		if g.syncReplicas > 0 && former == (fleet.LogPosition{}) {
+			best, ok := takeover.Choose(e.Candidates, e.SyncReplicas)
+			reached = ok && e.HoldsAcknowledged(best)
+		}
+		waited := c.Clock.Now() - start
+		switch {
+		case reached && (len(e.Candidates) == len(g.replicas) || waited >= otherReplicasWait),
+			len(e.Candidates) > 0 && waited >= catchUpTimeout-changePollInterval:
+			return e
+		case len(e.Candidates) == 0 && waited >= firstReplicaTimeout:
+			if g.syncReplicas > 0 && !ch.acknowledgedWaitIsOver(ctx) {
+				return e
+			}
+			// No replica answers. Promoting any of them is better than none.
+			for _, r := range g.replicas {
+				e.Candidates = append(e.Candidates, takeover.Candidate{Endpoint: r.ID, Leaving: r.Leaving, SameDataCentre: r.DataCentre == c.Self.DataCentre})
+			}
+			return e
+		}
+		if !sleep(ctx, changePollInterval/2) {
+			return takeover.Evidence{SyncReplicas: g.syncReplicas}
+		}
+	}
+}
+
+// replicaReports collects what replicas answer to a command.
+type replicaReports struct {
+	ctl  *Controller
+	stop context.CancelFunc
+
+	mu    sync.Mutex
+	found []replicaReport
+}
+
+type replicaReport struct {
+	endpoint catalog.Endpoint
+	answered bool
+	state    stmt.EndpointState
+}
+
+// askReplicas sends a command to each replica until the replica has target, for catchUpTimeout
+// or until stop is called.
+func (c *Controller) askReplicas(ctx context.Context, replicas []catalog.Endpoint, ask stmt.Statement, target fleet.LogPosition) *replicaReports {
+	query, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	r := &replicaReports{ctl: c, stop: cancel, found: make([]replicaReport, len(replicas))}
+	for i, e := range replicas {
+		r.found[i].endpoint = e
+		go func() {
+			for query.Err() == nil {
+				s, err := c.runEndpointCommand(e, ask)
+				if err == nil {
+					r.mu.Lock()
+					r.found[i].answered, r.found[i].state = true, s
+					r.mu.Unlock()
+					if s.Received.Compare(target) >= 0 {
+						return
+					}
+				}
+				if !sleep(query, changePollInterval) {
+					return
+				}
+			}
+		}()
+	}
+	return r
+}
+
+// candidates returns the replicas that have answered. suspect was the primary before the last
+// one.
+func (r *replicaReports) candidates(suspect fleet.EndpointID, previousTerm fleet.Term) []takeover.Candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []takeover.Candidate
+	for _, f := range r.found {
+		if f.answered {
+			out = append(out, takeover.Candidate{Endpoint: f.endpoint.ID, Received: f.state.Received, Term: max(f.state.Term, f.state.Received.Term),
+				TakenOver: takeover.HasTakenOver(f.state, previousTerm), Leaving: f.endpoint.Leaving,
+				Suspect:        f.state.Primary || f.endpoint.ID == suspect,
+				SameDataCentre: f.endpoint.DataCentre == r.ctl.Self.DataCentre})
+		}
+	}
+	return out
+}
+
+// resumeReplicas lets the replicas that were paused for a change receive from the new primary,
+// unless the next change has begun.
+func (c *Controller) resumeReplicas(settled catalog.Leadership, replicas []catalog.Endpoint) {
+	for _, e := range replicas {
+		if e.ID == settled.Primary {
+			continue
+		}
+		go func() {
+			for deadline := c.Clock.Now() + settleTimeout; c.Clock.Now() < deadline; {
+				var current catalog.Leadership
+				if c.runInLoop(c.ctx, func() { current = c.leadership(settled.Group) }) != nil ||
+					current.Order() > settled.Order() && (!current.Settled || current.PrimaryTerm != settled.PrimaryTerm) {
+					return
+				}
+				_, err := c.runEndpointCommand(e, stmt.Statement{Kind: stmt.Resume})
+				if err == nil {
+					return
+				}
+				if !sleep(c.ctx, 5*changePollInterval) {
+					c.Log.Info("control: replica not resumed", "endpoint", string(e.ID), "error", err.Error())
+					return
+				}
+			}
+			c.Log.Info("control: replica not resumed; it does not answer", "endpoint", string(e.ID))
+		}()
+	}
+}
--- /dev/null
+++ b/edge/control/positions_test.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/platform"
+)
+
+// Guards against acknowledged commits that are lost because the entry of the only replica that
+// has them has just gone from the list, or because the endpoint that gets the log of a primary
+// that has left is not listed yet.
+func TestEndpointsThatHaveJustLeftTheListAreAsked(t *testing.T) {
+	f := newTablesTest(t)
+	f.catalog = &catalog.Catalog{Groups: map[fleet.GroupID]catalog.Group{"bookings": {ID: "bookings", SyncReplicas: 1}}}
+	list := func(id, addr, role string) { f.put(platform.EndpointTable, id, endpointRow(addr, role)) }
+	list("p", "10.0.0.1:1", "primary")
+	list("r1", "10.0.0.2:1", "replica")
+	list("r2", "10.0.0.3:1", "replica")
+	asked := func() []string {
+		var ids []string
+		for _, e := range f.groupEndpoints("bookings", "p").replicas {
+			ids = append(ids, string(e.ID))
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	f.put(platform.EndpointTable, "r1", nil)
+	assert.DeepEqual(t, asked(), []string{"r1", "r2"})
+	list("r3", "10.0.0.2:1", "replica") // it has the log of r1
+	assert.DeepEqual(t, asked(), []string{"r2", "r3"})
+
+	leaving := f.lastEntries["p"]
+	leaving.Leaving = true
+	f.put(platform.EndpointTable, "p", nil)
+	assert.Assert(t, !f.groupEndpoints("bookings", "p").successorDue, "it did not announce its end, and its log is not passed on")
+	f.lastEntries["p"] = leaving
+	assert.Assert(t, f.groupEndpoints("bookings", "p").successorDue)
+	list("p2", "10.0.0.1:1", "replica")
+	assert.Assert(t, !f.groupEndpoints("bookings", "p").successorDue)
+	assert.DeepEqual(t, asked(), []string{"p2", "r2", "r3"})
+
+	f.catalog.Groups["bookings"] = catalog.Group{ID: "bookings"}
+	f.put(platform.EndpointTable, "r2", nil)
+	assert.DeepEqual(t, asked(), []string{"p2", "r3"}) // without synchronous replicas only listed endpoints are promoted
+}
