engine: a withdrawn key ends an open transaction

Cause: the key was checked at the begin of a transaction and after each statement outside one.

Each statement of an open transaction, SET, PREPARE and COMMIT included, is now handed on only if the key still stands for the client account that began the transaction, under the route of its begin. Otherwise the transaction is rolled back and the caller gets ABORTED, which is true: the commit has not been sent. A key that belongs to another account by now is treated in the same way, since the statements would run for the former one. The check stands where the session is, so it covers transactions that another instance runs.

--- a/edge/app/app_test.go
+++ b/edge/app/app_test.go
@@ -520,6 +520,34 @@
 	assert.Assert(t, strings.HasPrefix(d.query("FETCH roof"), "ERR NODB"))
 }
 
+// Guards against a withdrawn key that goes on in a transaction which another instance runs.
+func TestWithdrawnKeyEndsForwardedTransaction(t *testing.T) {
+	f := newTestFleet(t)
+	f.config["services"] = []any{map[string]any{"name": "bookings", "max_conns": 8, "sync_replicas": 0}}
+	f.config["limits"] = map[string]any{"tx_idle_ms": 10000} // no transaction ends for being idle
+	f.publish()
+	for i := range 4 {
+		f.startInstance(fmt.Sprintf("edge-%d", i+1), true)
+	}
+	var sessions []*client
+	for _, a := range f.apps {
+		c, _ := dial(t, a, "latest", "key-acme")
+		assert.Assert(t, succeeded(c.query("BEGIN")))
+		assert.Assert(t, succeeded(c.query("PUT roof kept?")))
+		sessions = append(sessions, c)
+	}
+	f.config["tenants"] = f.config["tenants"].([]any)[1:]
+	f.publish()
+	for _, a := range f.apps {
+		f.waitUntil(3*time.Second, func() bool { return a.control.View().Catalog.Version == uint64(f.version) })
+	}
+	for i, c := range sessions {
+		assert.Assert(t, strings.HasPrefix(c.query("COMMIT"), "ERR ABORTED"), "session at %s", f.apps[i].settings.Instance)
+	}
+	_, kept := f.endpoints[0].Value("roof")
+	assert.Assert(t, !kept)
+}
+
 // Guards against a client account that gets more than its rate over all instances
 // together, or less than 90% of it while it demands more.
 func TestRateHoldsAcrossInstances(t *testing.T) {
--- a/edge/engine/session.go
+++ b/edge/engine/session.go
@@ -173,7 +173,7 @@
 }
 
 // keyRejected reports whether the session has to end because its key no longer gives
-// access to its route. An open transaction may finish first.
+// access to its route. The client ends a transaction that has failed first.
 func (s *session) keyRejected() bool {
 	if s.tx != nil {
 		return false
@@ -182,6 +182,14 @@
 	return code == stmt.BadKey
 }
 
+// transactionAllowed reports whether the session's key still stands for the client account
+// that began the transaction. The route is that of the begin: a changed route applies from
+// the next transaction on, a changed key at once.
+func (s *session) transactionAllowed() bool {
+	account, ok := s.engine.View().Account(s.tx.route, s.key)
+	return ok && account == s.tx.account
+}
+
 // reply sends the answer to a statement and records refusals.
 func (s *session) reply(q stmt.Statement, a stmt.Answer) error {
 	a.State = s.state()
@@ -216,6 +224,13 @@
 		}
 		return stmt.Answer{Code: stmt.BadStatement, Text: "the transaction has failed; end it first"}
 	}
+	if s.tx != nil && q.Kind != stmt.Rollback && !s.transactionAllowed() {
+		s.failTransaction()
+		if q.Kind == stmt.Commit {
+			s.tx = nil
+		}
+		return stmt.Answer{Code: stmt.Aborted, Text: "the key was withdrawn during the transaction, which is rolled back; use a key in force"}
+	}
 	switch q.Kind {
 	case stmt.Set:
 		s.settings[q.Name] = q.Value
