platform: the term of a pause is not the term of a primary

Cause: the row of STATUS has the term of the endpoint and the term that it holds because of a PAUSE. The decoder returned the higher one. The replicas are paused at the term above the newest, so each candidate reported that term, and the promoted endpoint, which then led just that term, was not above it (takeover.HasTakenOver).

Logged rows: "replica 1 1.87 2" while paused, "primary 2 1.87 0" once promoted. TestChangeWithPausedReplicasIsCompleted fails on the code before.

--- a/core/stmt/stmt.go
+++ b/core/stmt/stmt.go
@@ -161,7 +161,7 @@
 // EndpointState is the state that an endpoint reports.
 type EndpointState struct {
 	Primary bool
-	// Term is the newest term that the endpoint knows.
+	// Term is the term of the newest primary that the endpoint knows, which may be itself.
 	Term fleet.Term
 	// Received is the last position in the endpoint's log.
 	Received fleet.LogPosition
--- a/edge/app/sync_test.go
+++ b/edge/app/sync_test.go
@@ -113,3 +113,15 @@
 	f.endpoints[2].SetDeaf(false)
 	f.waitUntil(3*time.Second, func() bool { return succeeded(c.query("PUT roof after")) })
 }
+
+// Guards against a group without a primary for good: the term of its own pause was taken for
+// one that the promoted endpoint had to exceed.
+func TestChangeWithPausedReplicasIsCompleted(t *testing.T) {
+	f, c := syncFleet(t)
+	assert.Equal(t, len(c.write("roof", 5)), 5)
+	f.endpoints[0].Crash()
+	start := time.Now()
+	f.waitUntil(5*time.Second, func() bool { return succeeded(c.query("PUT roof after")) })
+	assert.Assert(t, time.Since(start) < 2*time.Second)
+	assert.Equal(t, len(f.group.Violations()), 0)
+}
