executor: a read-only transaction does not write at a former primary

A transaction that is begun as read-only may run at a replica, and such a connection needs no permission. An instance that is cut off and has lost its permission takes the primary of its last record for a replica as well. A write in that transaction was sent there, and its commit acknowledged, also after another endpoint had been promoted.

A write in a transaction on such a connection is not sent; the transaction is rolled back and the caller told so. At a replica the endpoint refused it and the caller got the same answer.

--- a/edge/executor/local.go
+++ b/edge/executor/local.go
@@ -478,6 +478,11 @@
 		} else {
 			l.Pool.BeginStatement(tx.conn)
 		}
+		if writes && !tx.conn.Primary {
+			// No permission covers the connection, and it may lead to a former primary.
+			tx.Rollback()
+			return stmt.Answer{Code: stmt.Aborted, Text: "the transaction was begun as read-only; it is rolled back"}
+		}
 		a, sent, err := l.send(tx.conn, fleet.LogPosition{}, ex, ex.deadline, true)
 		c := tx.conn
 		switch {
