edge: tests of the wait for endpoints that may hold acknowledged commits

A listed replica that does not answer is waited for, a configuration without synchronous replicas ends the wait, and the bound of 30 s counts from the first unsettled record over all holders.

--- a/edge/app/sync_test.go
+++ b/edge/app/sync_test.go
@@ -13,7 +13,7 @@
 // syncFleet returns a fleet of two instances whose group has sync_replicas 1, and a session.
 func syncFleet(t *testing.T) (*testFleet, *client) {
 	f := newTestFleet(t)
-	f.group.SyncReplicas = 1
+	f.group.SetSyncReplicas(1)
 	f.config["services"] = []any{map[string]any{"name": "bookings", "max_conns": 40, "sync_replicas": 1}}
 	f.publish()
 	a, _ := f.startInstance("edge-1", true)
@@ -102,6 +102,24 @@
 	f.assertLeads(c, f.endpoints[1], items)
 }
 
+// Guards against the promotion of a replica that may lack acknowledged commits while the one that
+// may have them is listed and does not answer. The operator may go on without it.
+func TestListedReplicaWithAcknowledgedCommitsIsAwaited(t *testing.T) {
+	f, c := syncFleet(t)
+	f.endpoints[2].SetDeaf(true)
+	assert.Equal(t, len(c.write("roof", 5)), 5)
+	f.endpoints[1].Crash()
+	f.endpoints[0].Crash()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		assert.Assert(t, !succeeded(c.query("PUT other booked")))
+		assert.Assert(t, !f.endpoints[2].IsPrimary())
+	}
+	f.config["services"] = []any{map[string]any{"name": "bookings", "max_conns": 40, "sync_replicas": 0}}
+	f.publish()
+	f.group.SetSyncReplicas(0)
+	f.assertLeads(c, f.endpoints[2], nil)
+}
+
 // Guards against commits that no replica acknowledges any more, because those that were paused
 // for a change of primary stay paused.
 func TestReplicasReceiveAgainAfterChange(t *testing.T) {
--- a/edge/control/positions_test.go
+++ b/edge/control/positions_test.go
@@ -3,11 +3,13 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/takeover"
 	"github.com/vanillahinge/vanillahinge/platform"
 )
 
@@ -48,3 +50,23 @@
 	f.put(platform.EndpointTable, "r2", nil)
 	assert.DeepEqual(t, asked(), []string{"p2", "r3"}) // without synchronous replicas only listed endpoints are promoted
 }
+
+// Guards against a group without a primary for good: each holder of an unfinished change would
+// begin to wait anew for an endpoint that may hold acknowledged commits.
+func TestWaitForAcknowledgedCommitsIsBoundedOverAllHolders(t *testing.T) {
+	c := startController(t, 0)
+	ch := &primaryChange{ctl: c, old: catalog.Leadership{Group: "bookings"}}
+	adopt := func(revision uint64, settled bool, holder fleet.InstanceID) {
+		assert.NilError(t, c.runInLoop(t.Context(), func() {
+			c.adoptLeadership(catalog.Leadership{Group: "bookings", Version: revision, Revision: revision, Term: 2, Former: "e1", Holder: holder, Settled: settled})
+		}))
+	}
+	adopt(2, false, "a")
+	assert.Assert(t, !ch.acknowledgedWaitIsOver(t.Context()))
+	assert.NilError(t, c.runInLoop(t.Context(), func() { c.groupState("bookings").unsettledSince -= takeover.MaxAcknowledgedWait + time.Second }))
+	adopt(3, false, "b")
+	assert.Assert(t, ch.acknowledgedWaitIsOver(t.Context()))
+	adopt(4, true, "b")
+	adopt(5, false, "a")
+	assert.Assert(t, !ch.acknowledgedWaitIsOver(t.Context()))
+}
