--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -51,7 +51,7 @@
 	out, err := build.CombinedOutput()
 	assert.NilError(t, err, "%s", out)
 	seeds := append([]uint64(nil), failed...)
-	for i := range setting("VH_SOAK_SEEDS", 1) {
+	for i := range setting("VH_SOAK_SEEDS", 3) {
 		seeds = append(seeds, uint64(setting("VH_SOAK_FROM", 1)+i))
 	}
 	for _, seed := range seeds {
@@ -74,6 +74,9 @@
 	// idleAccounts is the number of further accounts. With many, one instance keeps the
 	// connections and the others forward their statements.
 	idleAccounts int
+	// syncReplicas is the number of replicas that have received a commit before it is
+	// acknowledged.
+	syncReplicas int
 	t            *testing.T
 	bin          string
 	rnd          *rand.Rand
@@ -120,6 +123,10 @@
 	if seed%2 == 1 {
 		w.idleAccounts = 40
 	}
+	if seed%3 == 1 {
+		w.syncReplicas = 1
+		g.SetSyncReplicas(1)
+	}
 	w.publish()
 	dir := t.TempDir()
 	for i := range instances {
@@ -196,7 +203,7 @@
 	}
 	config := map[string]any{"version": w.version,
 		"routes":   []any{route("latest", "primary"), route("bounded", "bounded_staleness"), route("own", "read_your_writes")},
-		"services": []any{map[string]any{"name": "bookings", "max_conns": 40, "sync_replicas": 0}},
+		"services": []any{map[string]any{"name": "bookings", "max_conns": 40, "sync_replicas": w.syncReplicas}},
 		"limits":   map[string]any{"tx_idle_ms": 2000},
 		"tenants":  tenants}
 	w.mu.Lock()
