control: a known red test of sources that the store turns away

Cause: an instance follows at most two of its data centre and the first two of the fleet. Here these are the same two. While both have no recent proof it asks nobody else, although instances of other data centres had the version 0.9 s after it was acknowledged; the three instances of a data centre that read the store themselves then were turned away as well.

--- a/edge/control/control_test.go
+++ b/edge/control/control_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -291,6 +292,36 @@
 	}
 }
 
+// revokeTime is the users' bound for a withdrawn key to stop working.
+const revokeTime = 5 * time.Second
+
+// Guards against a withdrawn key that stays in use at an instance whose sources are all turned
+// away by the store while other instances know the configuration without it (moha-foglalas-grown,
+// scale-2, seed 456908553769).
+func TestConfigurationPassesSourcesThatAreTurnedAway(t *testing.T) {
+	peers := make([]*fakePeer, 12)
+	for i := range peers {
+		peers[i] = &fakePeer{version: 2}
+	}
+	c := startController(t, len(peers), peers...)
+	waitForCatalogVersion(t, c, 2)
+	var sources []fleet.InstanceID
+	assert.NilError(t, c.runInLoop(t.Context(), func() { sources = c.role.Sources }))
+	for i, p := range peers {
+		p.mu.Lock()
+		if slices.Contains(sources, fleet.InstanceID(fmt.Sprint("peer-", i))) {
+			p.staleProof = true
+		} else {
+			p.version = 3
+		}
+		p.mu.Unlock()
+	}
+	time.Sleep(revokeTime)
+	var inForce uint64
+	assert.NilError(t, c.runInLoop(t.Context(), func() { inForce = c.catalog.Version }))
+	assert.Equal(t, inForce, uint64(3))
+}
+
 // Guards against calls without pause while nobody has a recent proof, at the start of a
 // fleet or while the store is down: with 300 instances the start did not end.
 func TestFewCallsWithoutProof(t *testing.T) {
