--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -364,13 +364,13 @@
 		// read before it is demoted, and collectPositions waits for a replica to reach it.
 		// With synchronous replicas it goes on sending until then.
 		former := ch.formerPosition(ctx, g.former)
-		planned := former != (fleet.LogPosition{})
-		if g.syncReplicas == 0 || !planned {
+		formerKnown := former != (fleet.LogPosition{})
+		if g.syncReplicas == 0 || !formerKnown {
 			ch.demoteFormer(g.former)
 		}
 		ask := stmt.Statement{Kind: stmt.Status}
 		switch {
-		case g.syncReplicas > 0 && planned:
+		case g.syncReplicas > 0 && formerKnown:
 			// An earlier holder or an earlier round may have paused them.
 			ask = stmt.Statement{Kind: stmt.Resume}
 		case g.syncReplicas > 0:
