--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -34,6 +34,7 @@
 	name, zone, ip string
 	front, ready   string
 	dir            string
+	internal       int
 	cmd            *exec.Cmd
 	done           chan struct{}
 }
@@ -81,16 +82,20 @@
 		panic(err)
 	}
 	f.all = append(f.all, in)
-	f.start(in, true, internalPorts(ip))
+	in.internal = internalPorts(ip)
+	f.start(in, true)
 	return in
 }
 
+// restart starts an instance that has ended again.
+func (f *fleet) restart(in *instance) { f.start(in, false) }
+
 // start writes the settings of an instance and starts it.
-func (f *fleet) start(in *instance, bootstrap bool, internal int) {
+func (f *fleet) start(in *instance, bootstrap bool) {
 	settings := map[string]any{
 		"node_name": in.name, "role": "edge", "machine_class": "edge", "serves": []string{"edge"}, "ip": in.ip, "zone": in.zone, "region": "r1",
 		"zones":  map[string]string{"z1": "r1", "z2": "r1", "z3": "r1"},
-		"listen": map[string]string{"front": in.front, "ready": in.ready}, "internal_ports": []int{internal, internal + 15},
+		"listen": map[string]string{"front": in.front, "ready": in.ready}, "internal_ports": []int{in.internal, in.internal + 15},
 		"seeds": []string{}, "bootstrap": bootstrap, "counts_as_loss": false,
 		"limits":   map[string]any{"cpu_share": 0.608, "cores": 1, "memory_limit_mb": 414, "max_fds": 6300, "link_mbps": 1500.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,11 +22,14 @@
 	cloud   *cloud
 	groups  []*group
 	trouble bool
+	// dir is a temporary folder, program that of the instances. rounds counts the set-ups.
+	dir, program string
+	rounds       int
 }
 
 const exitBroken, exitHeld, exitNotRun = 1, 0, 2
 
-var cases = map[string]func(*world) int{"route-moved": routeMoved}
+var cases = map[string]func(*world) int{"route-moved": routeMoved, "holder-killed": holderKilled}
 
 func main() {
 	if len(os.Args) != 4 {
@@ -63,7 +66,7 @@
 				w.fleet.stop()
 			}
 		}()
-		w.setUp(dir, program)
+		w.dir, w.program = dir, program
 		return run(w)
 	}()
 	w.rec.line("exit %d", code)
@@ -92,8 +95,13 @@
 	os.Exit(exitNotRun)
 }
 
-// setUp starts the store and the servers of two services.
-func (w *world) setUp(dir, program string) {
+// setUp starts the store and the servers of two services. An earlier fleet is ended.
+func (w *world) setUp() {
+	if w.fleet != nil {
+		w.fleet.stop()
+	}
+	w.rounds++
+	w.groups = nil
 	ip := fmt.Sprintf("127.%d.%d.10", 20+os.Getpid()%200, 1+os.Getpid()/200%200)
 	st, err := newStore(ip)
 	if err != nil {
@@ -110,7 +118,7 @@
 	if w.cloud, err = newCloud(ip, w.rec.line, w.groups...); err != nil {
 		panic(err)
 	}
-	w.fleet = &fleet{dir: dir, program: program, store: st, cloud: w.cloud, rec: w.rec}
+	w.fleet = &fleet{dir: filepath.Join(w.dir, fmt.Sprint(w.rounds)), program: w.program, store: st, cloud: w.cloud, rec: w.rec}
 }
 
 // instanceIP returns the address of the n-th instance.
--- a/review/standin-2/route_moved.go
+++ b/review/standin-2/route_moved.go
@@ -10,6 +10,7 @@
 // operator points the route to another service and back; the replicas are behind.
 func routeMoved(w *world) int {
 	const attempts = 8
+	w.setUp()
 	a, b := w.groups[0], w.groups[1]
 	own := func(service string) []route {
 		return []route{{"own", "read_your_writes", service, 2500}, {"fixed", "primary", a.name, 0}, {"view", "bounded_staleness", a.name, 1500}}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -48,7 +48,17 @@
 	lag     time.Duration
 	members []*server
 	runs    []run
-	record  func(format string, a ...any)
+	// leads are the promotions that have taken effect. led is closed at the next one.
+	leads  []lead
+	led    chan struct{}
+	record func(format string, a ...any)
+}
+
+// lead is a promotion that has taken effect.
+type lead struct {
+	at     time.Time
+	server *server
+	term   uint64
 }
 
 type server struct {
@@ -62,26 +72,38 @@
 	term    uint64
 	log     []commit
 	seq     int
+	// down is set while the server has crashed.
+	down     bool
+	listener net.Listener
+	conns    map[net.Conn]bool
+	// cutFrom, if set, tells whether a connection is on a link that is cut: nothing is
+	// answered there.
+	cutFrom func(net.Conn) bool
 }
 
 const heartbeat = 1200 * time.Millisecond
 
 func newGroup(st *store, name, ip string, zones []string, record func(string, ...any)) (*group, error) {
-	g := &group{name: name, store: st, work: 8 * time.Millisecond, promoteTime: 600 * time.Millisecond, lag: 8 * time.Millisecond, record: record}
+	g := &group{name: name, store: st, work: 8 * time.Millisecond, promoteTime: 600 * time.Millisecond, lag: 8 * time.Millisecond, record: record, led: make(chan struct{})}
 	for i, zone := range zones {
 		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, err
 		}
 		s := &server{id: fmt.Sprintf("i-%s%d", name, i), addr: l.Addr().String(), zone: zone, g: g, slots: make(chan struct{}, 3),
-			born: time.Now().UnixMilli(), primary: i == 0, term: 1}
+			born: time.Now().UnixMilli(), primary: i == 0, term: 1, listener: l, conns: map[net.Conn]bool{}}
 		g.members = append(g.members, s)
 		go s.accept(l)
 	}
 	for _, s := range g.members {
 		go func() {
 			for {
-				s.beat()
+				g.mu.Lock()
+				down := s.down
+				g.mu.Unlock()
+				if !down {
+					s.beat()
+				}
 				time.Sleep(heartbeat)
 			}
 		}()
@@ -115,10 +137,29 @@
 		if err != nil {
 			return
 		}
+		s.g.mu.Lock()
+		s.conns[c] = true
+		cut := s.cutFrom
+		s.g.mu.Unlock()
+		if cut != nil && cut(c) {
+			continue // silent
+		}
 		go s.serve(c)
 	}
 }
 
+// crash ends the server's process.
+func (s *server) crash() {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.down = true
+	s.listener.Close()
+	for c := range s.conns {
+		c.Close()
+	}
+	s.g.record("server %s/%s crashed", s.g.name, s.id)
+}
+
 // applied returns the position up to which the server has applied its log.
 func (s *server) applied(now time.Time) position {
 	p := position{s.firstTerm(), 0}
@@ -228,7 +269,7 @@
 	if ss.failed && verb != "ROLLBACK" && verb != "COMMIT" {
 		return "ERR BADMSG failed\r\n"
 	}
-	if verb == "FETCH" || verb == "PUT" || verb == "COMMIT" {
+	if verb == "FETCH" || verb == "PUT" || verb == "COMMIT" || verb == "STATUS" {
 		s.slots <- struct{}{}
 		time.Sleep(g.work)
 		defer func() { <-s.slots }()
@@ -338,7 +379,7 @@
 	}
 	c := commit{at: position{s.term, n}, writes: writes, visible: now.Add(s.g.lag)}
 	for _, o := range s.g.members {
-		if o == s || !o.primary && o.term <= s.term {
+		if o == s || !o.primary && !o.down && o.term <= s.term {
 			o.log = append(o.log, c)
 			o.term = max(o.term, s.term)
 		}
@@ -399,6 +440,9 @@
 		if s.id != id {
 			continue
 		}
+		if s.down {
+			return false
+		}
 		if s.primary {
 			return true
 		}
@@ -410,13 +454,26 @@
 			}
 			s.primary, s.term = true, term+1
 			for _, o := range g.members {
-				if o != s && !o.primary {
+				if o != s && !o.primary && !o.down {
 					o.term, o.log = s.term, append([]commit(nil), s.log...)
 				}
 			}
+			g.leads = append(g.leads, lead{time.Now(), s, term + 1})
+			close(g.led)
+			g.led = make(chan struct{})
 			g.mu.Unlock()
 			g.record("server %s/%s leads term %d", g.name, id, term+1)
 			s.beat()
+			// The former primary follows a second after it can reach the new one.
+			time.AfterFunc(time.Second, func() {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				for _, o := range g.members {
+					if o != s && o.primary && o.term < s.term {
+						o.primary, o.term, o.log = false, s.term, append([]commit(nil), s.log...)
+					}
+				}
+			})
 		})
 		return true
 	}
