--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -72,8 +72,9 @@
 	term    uint64
 	log     []commit
 	seq     int
-	// down is set while the server has crashed.
+	// down is set while the server has crashed, draining once it is about to leave.
 	down     bool
+	draining bool
 	listener net.Listener
 	conns    map[net.Conn]bool
 	// cutFrom, if set, tells whether a connection is on a link that is cut: nothing is
@@ -125,10 +126,13 @@
 	if s.primary {
 		role = "primary"
 	}
-	seq := s.seq
+	seq, state := s.seq, "ready"
+	if s.draining {
+		state = "draining"
+	}
 	s.g.mu.Unlock()
 	s.g.store.set("servers", s.id, map[string]any{"service": s.g.name, "addr": s.addr, "zone": s.zone, "version": "v1", "slots": 3,
-		"state": "ready", "cold_ms": 0, "db_role": role, "seq": seq, "born": s.born})
+		"state": state, "cold_ms": 0, "db_role": role, "seq": seq, "born": s.born})
 }
 
 func (s *server) accept(l net.Listener) {
@@ -148,6 +152,15 @@
 	}
 }
 
+// drain announces that the server is about to leave.
+func (s *server) drain() {
+	s.g.mu.Lock()
+	s.draining = true
+	s.g.mu.Unlock()
+	s.g.record("server %s/%s is draining", s.g.name, s.id)
+	s.beat()
+}
+
 // crash ends the server's process.
 func (s *server) crash() {
 	s.g.mu.Lock()
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -37,8 +37,9 @@
 	// history holds each change with its version.
 	history []row
 	changed chan struct{}
-	// refuse, if set, decides whether a call from a remote address is turned away.
-	refuse func(remote string) bool
+	// refuse, if set, decides whether a call is turned away. table is that of a call that
+	// reads, "" for others.
+	refuse func(table string) bool
 }
 
 func newStore(ip string) (*store, error) {
@@ -149,7 +150,7 @@
 	s.mu.Lock()
 	refuse := s.refuse
 	s.mu.Unlock()
-	if refuse == nil || !refuse(r.RemoteAddr) {
+	if refuse == nil || !refuse(r.URL.Query().Get("table")) {
 		return false
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
