--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -74,7 +74,15 @@
 	}
 }
 
-func (f *fleet) add(name, zone, ip string) *instance {
+// add starts an instance as the whole fleet starts for the first time.
+func (f *fleet) add(name, zone, ip string) *instance { return f.addInstance(name, zone, ip, true) }
+
+// addLater starts an instance that joins the fleet.
+func (f *fleet) addLater(name, zone, ip string) *instance {
+	return f.addInstance(name, zone, ip, false)
+}
+
+func (f *fleet) addInstance(name, zone, ip string, bootstrap bool) *instance {
 	in := &instance{name: name, zone: zone, ip: ip, dir: filepath.Join(f.dir, name)}
 	in.front = fmt.Sprintf("%s:%d", ip, freePort(ip))
 	in.ready = fmt.Sprintf("%s:%d", ip, freePort(ip))
@@ -83,7 +91,7 @@
 	}
 	f.all = append(f.all, in)
 	in.internal = internalPorts(ip)
-	f.start(in, true)
+	f.start(in, bootstrap)
 	return in
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,7 +29,7 @@
 
 const exitBroken, exitHeld, exitNotRun = 1, 0, 2
 
-var cases = map[string]func(*world) int{"route-moved": routeMoved, "holder-killed": holderKilled, "partial-store": partialStore}
+var cases = map[string]func(*world) int{"route-moved": routeMoved, "holder-killed": holderKilled, "change-stuck": changeStuck}
 
 func main() {
 	if len(os.Args) != 4 {
