--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -168,8 +168,16 @@
 	s.g.record("server %s/%s runs again, primary %v", s.g.name, s.id, s.primary)
 }
 
-// crash ends the server's process.
+// crash ends the server's process. Its entry is removed after three heartbeat intervals.
 func (s *server) crash() {
+	time.AfterFunc(3*heartbeat, func() {
+		s.g.mu.Lock()
+		down := s.down
+		s.g.mu.Unlock()
+		if down {
+			s.g.store.remove("servers", s.id)
+		}
+	})
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	s.down = true
