--- a/review/standin-2/holder_killed.go
+++ b/review/standin-2/holder_killed.go
@@ -85,7 +85,7 @@
 }
 
 func holderKilledOnce(w *world) int {
-	w.setUp()
+	w.setUp("z1", "z2", "z3")
 	g := w.groups[0]
 	w.configure(1, route{"book", "primary", g.name, 0})
 	for i, zone := range []string{"z1", "z2", "z3"} {
