--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/vanillahinge-edge ] && [ -x target/review-2 ] || exit 2
-exec target/review-2 route-moved target/vanillahinge-edge review/7/record.txt
+exec target/review-2 holder-killed target/vanillahinge-edge review/7/record.txt
