--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,7 +29,7 @@
 
 const exitBroken, exitHeld, exitNotRun = 1, 0, 2
 
-var cases = map[string]func(*world) int{"route-moved": routeMoved, "holder-killed": holderKilled, "change-stuck": changeStuck}
+var cases = map[string]func(*world) int{"route-moved": routeMoved, "holder-killed": holderKilled, "change-stuck": changeStuck, "commits-lost": commitsLost}
 
 func main() {
 	if len(os.Args) != 4 {
@@ -146,7 +146,7 @@
 	}
 	var ss, ts []map[string]any
 	for _, g := range w.groups {
-		ss = append(ss, map[string]any{"name": g.name, "health_path": "/health", "max_conns": 21, "protocol": "h1", "tls": false, "sync_replicas": 0})
+		ss = append(ss, map[string]any{"name": g.name, "health_path": "/health", "max_conns": 21, "protocol": "h1", "tls": false, "sync_replicas": g.syncReplicas})
 	}
 	for i := range 8 {
 		ts = append(ts, map[string]any{"name": fmt.Sprintf("tenant%d", i), "api_keys": []string{fmt.Sprintf("key%d", i)}, "prio": 1, "rate_per_s": 131, "burst": 131})
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -22,7 +22,9 @@
 
 // commit is an entry of a log.
 type commit struct {
-	at     position
+	at position
+	// id is that of the statement that committed.
+	id     string
 	writes map[string]string
 	// visible is when a replica applies it.
 	visible time.Time
@@ -43,6 +45,8 @@
 	store *store
 	// work is the time of a read, write or commit in a slot.
 	work, promoteTime time.Duration
+	// syncReplicas is how many replicas have received a commit before it is acknowledged.
+	syncReplicas int
 
 	mu      sync.Mutex
 	lag     time.Duration
@@ -59,6 +63,8 @@
 	at     time.Time
 	server *server
 	term   uint64
+	// log is that of the server at this time.
+	log []commit
 }
 
 type server struct {
@@ -72,6 +78,9 @@
 	term    uint64
 	log     []commit
 	seq     int
+	// deaf is set while the replica receives nothing, paused is the term held by PAUSE.
+	deaf   bool
+	paused uint64
 	// down is set while the server has crashed.
 	down     bool
 	listener net.Listener
@@ -156,7 +165,7 @@
 		panic(err)
 	}
 	s.g.mu.Lock()
-	s.down, s.listener, s.born, s.seq = false, l, time.Now().UnixMilli(), 0
+	s.down, s.listener, s.born, s.seq, s.paused = false, l, time.Now().UnixMilli(), 0, 0
 	for _, o := range s.g.members {
 		if o.primary && o.term > s.term {
 			s.primary, s.term, s.log = false, o.term, append([]commit(nil), o.log...)
@@ -338,9 +347,16 @@
 		return "DONE -\r\n"
 	case "STATUS", "PAUSE", "RESUME", "DEMOTE":
 		t, _ := strconv.ParseUint(rest, 10, 64)
-		if verb == "DEMOTE" && t > s.term && s.primary {
+		switch {
+		case verb == "DEMOTE" && t > s.term && s.primary:
 			s.primary = false
 			g.record("server %s/%s demoted with term %d", g.name, s.id, t)
+		case verb == "PAUSE" && t > s.term && !s.primary:
+			s.paused = t
+			g.record("server %s/%s paused at term %d", g.name, s.id, t)
+		case verb == "RESUME":
+			s.paused = 0
+			s.catchUp()
 		}
 		role := "replica"
 		if s.primary {
@@ -350,7 +366,7 @@
 		if len(s.log) > 0 {
 			received = s.log[len(s.log)-1].at
 		}
-		return fmt.Sprintf("ROW %s %d %s 0 0 0 1\r\nDONE -\r\n", role, s.term, received)
+		return fmt.Sprintf("ROW %s %d %s %d 0 0 1\r\nDONE -\r\n", role, s.term, received, s.paused)
 	case "FETCH":
 		v := s.value(rest, now)
 		if w, ok := ss.writes[rest]; ok {
@@ -368,8 +384,11 @@
 			note("in transaction", data)
 			return signature
 		}
-		at := s.commit(map[string]string{item: data}, now)
+		at := s.commit(id, map[string]string{item: data}, now)
 		note("committed at "+at.String(), data)
+		if !s.awaitReplicas(at) {
+			return "ERR FAILED " + s.id + "\r\n"
+		}
 		return signature
 	case "COMMIT":
 		writes, open, failed := ss.writes, ss.open, ss.failed
@@ -380,8 +399,11 @@
 		case len(writes) > 0 && !s.primary:
 			return "ERR READONLY " + s.id + "\r\n"
 		case len(writes) > 0:
-			at := s.commit(writes, now)
+			at := s.commit(id, writes, now)
 			note("committed at "+at.String(), fmt.Sprint(writes))
+			if !s.awaitReplicas(at) {
+				return "ERR FAILED " + s.id + "\r\n"
+			}
 		}
 		return signature
 	case "ROLLBACK":
@@ -400,14 +422,14 @@
 }
 
 // commit appends to the logs of the primary and its replicas.
-func (s *server) commit(writes map[string]string, now time.Time) position {
+func (s *server) commit(id string, writes map[string]string, now time.Time) position {
 	n := uint64(1)
 	if len(s.log) > 0 {
 		n = s.log[len(s.log)-1].at.number + 1
 	}
-	c := commit{at: position{s.term, n}, writes: writes, visible: now.Add(s.g.lag)}
+	c := commit{at: position{s.term, n}, id: id, writes: writes, visible: now.Add(s.g.lag)}
 	for _, o := range s.g.members {
-		if o == s || !o.primary && !o.down && o.term <= s.term {
+		if o == s || o.receives() && o.term <= s.term {
 			o.log = append(o.log, c)
 			o.term = max(o.term, s.term)
 		}
@@ -415,6 +437,49 @@
 	return c.at
 }
 
+// receives reports whether the server receives the commits of a primary.
+func (s *server) receives() bool { return !s.primary && !s.down && !s.deaf && s.paused == 0 }
+
+// catchUp gives a replica the log of the primary, if both can.
+func (s *server) catchUp() {
+	for _, o := range s.g.members {
+		if o.primary && !o.down && o.term >= s.term && s.receives() {
+			s.term, s.log = o.term, append([]commit(nil), o.log...)
+		}
+	}
+}
+
+// setDeaf sets whether a replica receives nothing.
+func (s *server) setDeaf(deaf bool) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.deaf = deaf
+	s.catchUp()
+	s.g.record("server %s/%s receives nothing: %v", s.g.name, s.id, deaf)
+}
+
+// awaitReplicas waits until enough replicas have received a commit. It returns false if the
+// server stops being the primary before. The group's mutex is held, and given up meanwhile.
+func (s *server) awaitReplicas(at position) bool {
+	for {
+		n := 0
+		for _, o := range s.g.members {
+			if o != s && len(o.log) > 0 && !o.log[len(o.log)-1].at.less(at) {
+				n++
+			}
+		}
+		if n >= s.g.syncReplicas {
+			return true
+		}
+		if s.down || !s.primary {
+			return false
+		}
+		s.g.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		s.g.mu.Lock()
+	}
+}
+
 // promoteCall is a call for a promotion that the platform has received.
 type promoteCall struct {
 	at                  time.Time
@@ -480,13 +545,14 @@
 			for _, o := range g.members {
 				term = max(term, o.term)
 			}
-			s.primary, s.term = true, term+1
+			s.primary, s.term, s.paused = true, term+1, 0
 			for _, o := range g.members {
-				if o != s && !o.primary && !o.down {
+				o.paused = 0
+				if o != s && o.receives() {
 					o.term, o.log = s.term, append([]commit(nil), s.log...)
 				}
 			}
-			g.leads = append(g.leads, lead{time.Now(), s, term + 1})
+			g.leads = append(g.leads, lead{time.Now(), s, term + 1, append([]commit(nil), s.log...)})
 			close(g.led)
 			g.led = make(chan struct{})
 			g.mu.Unlock()
