--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -351,6 +351,7 @@
 		case verb == "DEMOTE" && t > s.term && s.primary:
 			s.primary = false
 			g.record("server %s/%s demoted with term %d", g.name, s.id, t)
+			go s.beat() // a change of its role is reported at once
 		case verb == "PAUSE" && t > s.term && !s.primary:
 			s.paused = t
 			g.record("server %s/%s paused at term %d", g.name, s.id, t)
