core/catalog: a claim never gets the number of a record that was announced

A holder announces the settled record before the store has it. Restarted, it claimed the change again on top of its stored claim, and the claim got the revision of the announcement. The users had confirmed that number already, so that they confirmed at once and their open transactions went on.

The number after an unsettled record now belongs to the record that settles it. A confirmation also looks at the open connections, and a claim without an answer is recognised by an identifier, not by the name of its holder.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -178,8 +178,10 @@
 	PrimaryTerm fleet.Term `json:",omitempty"`
 	// Former is the primary before Primary.
 	Former fleet.EndpointID
-	// Holder is the instance that carries out the change.
+	// Holder is the instance that carries out the change, and Claim identifies its claim: the
+	// store may apply an earlier claim of the same instance late.
 	Holder fleet.InstanceID
+	Claim  uint64 `json:",omitempty"`
 	// Settled is false while a change of primary is in progress. Until it is true
 	// no statement may be sent to any primary of the group.
 	Settled bool
@@ -201,7 +203,7 @@
 }
 
 // Order returns a number that increases from each record of the group to the next, also
-// if the store lost the former one.
+// if the store lost the former one. No two different records of a group have the same one.
 func (l Leadership) Order() uint64 { return kvstore.Version(l.Era, l.Revision) }
 
 // Compare orders the records of a group: the newer one is greater. Of two with the same
@@ -217,17 +219,31 @@
 	return cmp.Or(cmp.Compare(l.Order(), o.Order()), cmp.Compare(l.Version, o.Version), settled)
 }
 
-// Next returns the record with the revision of a write in an era of the store.
+// Next returns the record with the revision of a write on top of it in an era of the store.
+// The revision after that of an unsettled record belongs to Settle: its holder announces the
+// settled record before the store has it, so that another write may be made on top of the
+// unsettled one.
 func (l Leadership) Next(era uint64) Leadership {
+	if !l.Settled {
+		l.Revision++
+	}
 	l.Revision++
 	l.Era = max(l.Era, era)
 	return l
 }
 
+// Settle returns the settled record of a change, which names the primary and the log term with
+// which it leads. Only the holder of the unsettled record may call it, and only once.
+func (l Leadership) Settle(primary fleet.EndpointID, term fleet.Term) Leadership {
+	l.Primary, l.PrimaryTerm, l.Settled = primary, term, true
+	l.Revision++
+	return l
+}
+
 // Equal reports whether two records are the same.
 func (l Leadership) Equal(o Leadership) bool {
 	return slices.Equal(l.Users, o.Users) && slices.Equal(l.Removed, o.Removed) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary && l.PrimaryTerm == o.PrimaryTerm &&
-		l.Former == o.Former && l.Revision == o.Revision && l.Era == o.Era && l.RenewedEra == o.RenewedEra && l.Holder == o.Holder && l.Settled == o.Settled && l.Planned == o.Planned
+		l.Former == o.Former && l.Revision == o.Revision && l.Era == o.Era && l.RenewedEra == o.RenewedEra && l.Holder == o.Holder && l.Claim == o.Claim && l.Settled == o.Settled && l.Planned == o.Planned
 }
 
 // WithUser returns the record with another user, or with one that was about to be
--- a/core/takeover/plays_test.go
+++ b/core/takeover/plays_test.go
@@ -167,6 +167,20 @@
 	time passes; b is answered by d; b is answered by e;
 	a calls the platform to promote endpoint 2; the platform promotes endpoint 2 for version 4`
 
+// announcedTwice: b uses the primary that a has announced, and a, restarted before the store has
+// its record, claims the change again on top of its former claim.
+const announcedTwice = `a claims; a is confirmed by a; a is confirmed by b; a calls the platform to promote endpoint 1;
+	the platform promotes endpoint 1 for version 2; a announces the new primary to b; a is killed; a starts; a reads the store;
+	a claims; a is confirmed by a; a is confirmed by b; a calls the platform to promote endpoint 2; the platform promotes endpoint 2 for version 3`
+
+// Guards against a user that confirms a change by its number alone while its transactions go on
+// at the primary that was announced under the same number.
+func TestClaimEndsUseOfAnnouncedPrimary(t *testing.T) {
+	v, impossible := search{rules: rules{announceBeforeStore: true, reuseOrder: edgeRules.reuseOrder}, n: 2, users: 2}.play(announcedTwice)
+	assert.Equal(t, v, "")
+	assert.Equal(t, impossible, "")
+}
+
 // Each play breaks its own rules alone, and is safe without them: also if the new primary is
 // announced early with all users, or stored first with those that have confirmed.
 func TestPlaysNeedTheirRules(t *testing.T) {
@@ -183,6 +197,7 @@
 		"refused":          {search{rules: rules{refusedWhileRunning: true}, n: 2, users: 2}, refused},
 		"silentFeed":       {search{rules: rules{silentFeedIsProof: true}, n: 3, users: 3}, silentFeed},
 		"delayedPromotion": {search{rules: rules{promoteOutlivesHolder: true}, n: 3, users: 3}, delayedPromotion},
+		"announcedTwice":   {search{rules: rules{announceBeforeStore: true, reuseOrder: true}, n: 2, users: 2}, announcedTwice},
 		"twoHolders":       {search{rules: rules{staleStopEvidence: true}, n: 4, users: 3, anyFirst: true}, twoHolders},
 	} {
 		v, impossible := c.play(c.script)
--- a/core/takeover/search_test.go
+++ b/core/takeover/search_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/lease"
 )
@@ -73,17 +74,30 @@
 	unprovenResponses bool
 	// joinUnacknowledged registers users before a majority acts on the record.
 	joinUnacknowledged bool
+	// reuseOrder gives a claim on top of an unsettled record the order that its holder may
+	// have announced already.
+	reuseOrder bool
 }
 
 // searchRecord is a leadership record. Endpoints and instances are indices.
 type searchRecord struct {
-	version, primary, former, holder int8
-	users                            uint8
-	settled                          bool
+	version, order, primary, former, holder int8
+	users                                   uint8
+	settled                                 bool
 }
 
-func (r searchRecord) newer(o searchRecord) bool {
-	return r.version > o.version || r.version == o.version && r.settled && !o.settled
+func (r searchRecord) record() catalog.Leadership {
+	return catalog.Leadership{Version: uint64(r.version), Revision: uint64(r.order), Settled: r.settled}
+}
+
+func (r searchRecord) newer(o searchRecord) bool { return r.record().Compare(o.record()) > 0 }
+
+// next returns the order of a write on top of a record.
+func (s *search) next(r searchRecord) int8 {
+	if s.reuseOrder {
+		return r.order + 1
+	}
+	return int8(r.record().Next(0).Revision)
 }
 
 func (r searchRecord) mayUse(i int) bool { return r.users&(1<<i) != 0 }
@@ -98,10 +112,11 @@
 	// leaseLeft is the number of moments, this one included, at which the lease permits
 	// sending.
 	leaseLeft int8
-	// transaction is the endpoint at which a transaction is open, and draining is set once
-	// its primary is being replaced.
-	transaction int8
-	draining    bool
+	// transaction is the endpoint at which a transaction is open, transactionOrder the order
+	// of the record under which it was begun, and draining is set once its primary is being
+	// replaced.
+	transaction, transactionOrder int8
+	draining                      bool
 	// learnedAge is the age of an unsettled record.
 	learnedAge int8
 	change     searchChange
@@ -151,7 +166,7 @@
 var noChange = searchChange{confirmAge: [maxInstances]int8{none, none, none, none, none}, candidate: none}
 
 func (s *search) initial() searchState {
-	st := searchState{stored: searchRecord{version: 1, users: 1<<s.users - 1, settled: true, former: none, holder: none}}
+	st := searchState{stored: searchRecord{version: 1, order: 1, users: 1<<s.users - 1, settled: true, former: none, holder: none}}
 	for i := range st.calls {
 		st.calls[i].holder = none
 	}
@@ -227,7 +242,8 @@
 	}
 	replaced := !r.settled || r.primary != nd.known.primary
 	nd.known, nd.learnedAge = r, 0
-	if replaced && nd.transaction != none {
+	// As in the pool, a connection is ended if it was acquired under an earlier record.
+	if replaced && nd.transaction != none && nd.transactionOrder < r.order {
 		nd.draining = true
 		if r.settled && !s.groupLease {
 			nd.transaction, nd.draining = none, false
@@ -354,11 +370,14 @@
 		}
 		if nd.known.settled && nd.leaseLeft > 0 && nd.transaction == none {
 			// A transaction is open wherever one may be.
-			nd.transaction = nd.known.primary
+			nd.transaction, nd.transactionOrder = nd.known.primary, nd.known.order
 		}
 		if nd.known.settled || st.claims == s.maxClaims {
 			nd.learnedAge = 0
 		}
+		if nd.transaction == none {
+			nd.transactionOrder = 0
+		}
 		if nd.proofAge == none {
 			continue
 		}
@@ -495,6 +514,7 @@
 	emit("registers", i, 0, func(x *searchState) {
 		r := nd.known
 		r.users |= 1 << i
+		r.order = s.next(r)
 		r.version++
 		x.stored = r
 		s.learn(x, i, r)
@@ -518,7 +538,7 @@
 		}
 	}
 	emit("claims", i, 0, func(x *searchState) {
-		r := searchRecord{version: nd.known.version + 1, primary: none, former: nd.known.primary, holder: int8(i), users: nd.known.users}
+		r := searchRecord{version: nd.known.version + 1, order: s.next(nd.known), primary: none, former: nd.known.primary, holder: int8(i), users: nd.known.users}
 		if !nd.known.settled {
 			r.former = nd.known.former
 		}
@@ -576,6 +596,7 @@
 	}
 	settled := ch.record
 	settled.primary, settled.settled = ch.candidate, true
+	settled.order = int8(ch.record.record().Settle("", 0).Revision)
 	announced := settled
 	confirmed := uint8(0)
 	for j := range s.n {
@@ -687,6 +708,8 @@
 var safeSearches = []search{
 	{n: 2, users: 2, maxClaims: 2, maxKills: 1},
 	{n: 2, users: 2, maxClaims: 3},
+	{rules: rules{announceBeforeStore: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1},
+	{rules: rules{announceBeforeStore: true}, n: 2, users: 2, maxClaims: 3},
 }
 
 // Once another endpoint has taken over, no instance may send to the former primary, in any
@@ -720,16 +743,17 @@
 // TestNoReachableStateUsesReplacedPrimary would pass without checking that rule.
 func TestSearchDetectsMutations(t *testing.T) {
 	for name, s := range map[string]search{
-		"claim renews the lease":                  {rules: rules{renewWhileUnsettled: true}, n: 3, users: 3, maxClaims: 1},
-		"lease on the group":                      {rules: rules{groupLease: true}, n: 3, users: 3, maxClaims: 1},
-		"running instance refuses":                {rules: rules{refusedWhileRunning: true}, n: 2, users: 2, maxClaims: 1},
-		"relayed proof too young":                 {rules: rules{relayTooYoung: true}, n: 4, users: 3, maxClaims: 1},
-		"silence of the feed is a proof":          {rules: rules{silentFeedIsProof: true}, n: 3, users: 3, maxClaims: 1},
-		"promotion call outlives its holder":      {rules: rules{promoteOutlivesHolder: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1},
-		"no majority":                             {rules: rules{noMajority: true}, n: 3, users: 3, maxClaims: 1},
-		"no wait":                                 {rules: rules{noWait: true}, n: 3, users: 3, maxClaims: 1},
-		"proof from before the start":             {rules: rules{oldProofs: true}, n: 3, users: 3, maxClaims: 1, maxKills: 1},
-		"response of an instance without a proof": {rules: rules{unprovenResponses: true}, n: 3, users: 3, maxClaims: 1, maxKills: 1},
+		"claim renews the lease":                   {rules: rules{renewWhileUnsettled: true}, n: 3, users: 3, maxClaims: 1},
+		"lease on the group":                       {rules: rules{groupLease: true}, n: 3, users: 3, maxClaims: 1},
+		"running instance refuses":                 {rules: rules{refusedWhileRunning: true}, n: 2, users: 2, maxClaims: 1},
+		"relayed proof too young":                  {rules: rules{relayTooYoung: true}, n: 4, users: 3, maxClaims: 1},
+		"silence of the feed is a proof":           {rules: rules{silentFeedIsProof: true}, n: 3, users: 3, maxClaims: 1},
+		"promotion call outlives its holder":       {rules: rules{promoteOutlivesHolder: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1},
+		"no majority":                              {rules: rules{noMajority: true}, n: 3, users: 3, maxClaims: 1},
+		"no wait":                                  {rules: rules{noWait: true}, n: 3, users: 3, maxClaims: 1},
+		"proof from before the start":              {rules: rules{oldProofs: true}, n: 3, users: 3, maxClaims: 1, maxKills: 1},
+		"response of an instance without a proof":  {rules: rules{unprovenResponses: true}, n: 3, users: 3, maxClaims: 1, maxKills: 1},
+		"order of an announcement given out again": {rules: rules{announceBeforeStore: true, reuseOrder: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1},
 	} {
 		play, states, _ := s.run(2_000_000)
 		t.Logf("%s: %d states: %s", name, states, play)
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -148,9 +149,11 @@
 // change. The write is conditional on the version of the old record.
 func (ch *primaryChange) claim(ctx context.Context) bool {
 	c, old := ch.ctl, ch.old
+	next := old.Next(c.era.Load())
 	l := catalog.Leadership{
-		Group: old.Group, Version: old.Version, Term: max(old.Term, old.PrimaryTerm, c.Pool.Term(old.Group)) + 1, Former: old.Primary,
-		PrimaryTerm: old.PrimaryTerm, Holder: c.Self.ID, Planned: isPlanned(ch.cause), Users: old.Users, Removed: old.Removed,
+		Group: old.Group, Version: old.Version, Revision: next.Revision, Era: next.Era, RenewedEra: old.RenewedEra,
+		Term: max(old.Term, old.PrimaryTerm, c.Pool.Term(old.Group)) + 1, Former: old.Primary, PrimaryTerm: old.PrimaryTerm,
+		Holder: c.Self.ID, Claim: rand.Uint64(), Planned: isPlanned(ch.cause), Users: old.Users, Removed: old.Removed,
 	}
 	if !old.Settled {
 		// The primary from before the unfinished change may still be in use.
@@ -158,8 +161,6 @@
 		// It may be the only one with all acknowledged commits.
 		l.Planned = old.Planned && c.View().Catalog.Groups[old.Group].SyncReplicas > 0
 	}
-	l.Revision, l.RenewedEra = old.Revision, old.RenewedEra
-	l = l.Next(c.era.Load())
 	row, err := ch.encodeRow(l)
 	if err != nil {
 		c.Log.Warn("control: cannot encode the claim of a change of primary", "error", err.Error())
@@ -172,7 +173,7 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, kvstore.ErrNoAnswer):
-		if version = ch.awaitLateClaim(ctx); version == 0 {
+		if version = ch.awaitLateClaim(ctx, l.Claim); version == 0 {
 			c.Log.Warn("control: claim got no response from the store and did not appear in the table; change of primary abandoned", "group", string(old.Group))
 			return false
 		}
@@ -189,7 +190,7 @@
 
 // awaitLateClaim waits until a claim whose response was lost appears in the
 // table, and returns its version; 0 if it does not.
-func (ch *primaryChange) awaitLateClaim(ctx context.Context) uint64 {
+func (ch *primaryChange) awaitLateClaim(ctx context.Context, claim uint64) uint64 {
 	c := ch.ctl
 	for deadline := c.Clock.Now() + lateClaimTimeout; c.Clock.Now() < deadline; {
 		var current catalog.Leadership
@@ -197,7 +198,7 @@
 			return 0
 		}
 		if current.Order() > ch.old.Order() {
-			if current.Holder == c.Self.ID && !current.Settled {
+			if current.Claim == claim && !current.Settled {
 				return current.Version
 			}
 			return 0
@@ -345,7 +346,7 @@
 			done <- 0
 			return
 		}
-		if g.confirmedVersion >= req.Record.Order() {
+		if g.confirmedVersion >= req.Record.Order() && !c.Pool.UsesFormerPrimary(g.record) {
 			done <- g.confirmedVersion
 			return
 		}
@@ -452,8 +453,7 @@
 		switch {
 		case err == nil:
 			if term, ok := ch.awaitTakeover(ctx, g.replicas, best.Endpoint, termBefore); ok {
-				ch.record.Primary, ch.record.PrimaryTerm, ch.record.Settled = best.Endpoint, term, true
-				ch.record.Revision++
+				ch.record = ch.record.Settle(best.Endpoint, term)
 				return true
 			}
 		case c.Promoter.IsRefusal(err):
--- a/edge/control/change_test.go
+++ b/edge/control/change_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/kvstore"
+	"github.com/vanillahinge/vanillahinge/edge/view"
 )
 
 // Guards against two changes with majorities that have no member in common: that of the users
@@ -23,3 +25,43 @@
 	assert.DeepEqual(t, ch.record.Users, users)
 	assert.DeepEqual(t, ch.record.Removed, []fleet.InstanceID{"peer-1"})
 }
+
+// Guards against a holder that is restarted before the store has the primary which it announced,
+// and whose new claim passes for that announcement: the users confirmed it at once, and their
+// open transactions went on at the announced primary.
+func TestClaimOnTopOfAnnouncedChangeEndsItsUse(t *testing.T) {
+	users := []fleet.InstanceID{"peer-0", "self"}
+	claimed := catalog.Leadership{Group: "bookings", Former: "e1", Holder: "peer-0", Version: 9, Revision: 9, Term: 2, Users: users}
+	announced := claimed.Settle("e2", 2)
+	st := &recordStore{record: claimed}
+	c := startControllerWithStore(t, st, 1)
+	c.view.Store(&view.View{Catalog: &catalog.Catalog{}})
+	ch := &primaryChange{ctl: c, old: claimed, startedAt: c.Clock.Now()} // as the restarted holder does
+	assert.Assert(t, ch.claim(t.Context()))
+	assert.Assert(t, ch.record.Order() > announced.Order(), "claim %d, announcement %d", ch.record.Order(), announced.Order())
+	assert.Assert(t, ch.record.Order() != claimed.Order())
+}
+
+// lateStore applies an earlier claim of the same instance in place of the one that it is asked
+// to store, and does not answer.
+type lateStore struct {
+	unavailableStore
+	ctl     *Controller
+	earlier catalog.Leadership
+}
+
+func (s *lateStore) Apply(ctx context.Context, _ kvstore.Transaction) (uint64, error) {
+	_ = s.ctl.runInLoop(ctx, func() { s.ctl.adoptLeadership(s.earlier) })
+	return 0, kvstore.ErrNoAnswer
+}
+
+// Guards against a holder that takes an earlier claim of its own, applied late, for the one that
+// it has just made: its time counts from the wrong call.
+func TestEarlierClaimIsNotTakenForTheLatest(t *testing.T) {
+	users := []fleet.InstanceID{"peer-0", "self"}
+	st := &lateStore{earlier: catalog.Leadership{Group: "bookings", Former: "e1", Holder: "self", Claim: 7, Version: 10, Revision: 10, Term: 2, Users: users}}
+	c := startControllerWithStore(t, st, 1)
+	st.ctl = c
+	ch := &primaryChange{ctl: c, old: catalog.Leadership{Group: "bookings", Primary: "e1", Settled: true, Version: 9, Revision: 9, Term: 1, Users: users}, startedAt: c.Clock.Now()}
+	assert.Assert(t, !ch.claim(t.Context()))
+}
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -416,7 +416,7 @@
 	c.Metrics.Count("leader_records")
 	c.signalChange()
 	c.renewLease()
-	if old.Primary == l.Primary && l.Settled {
+	if l.Settled && old.Primary == l.Primary && old.PrimaryTerm == l.PrimaryTerm {
 		c.markConfirmed(g, l.Order())
 		return true
 	}
@@ -427,7 +427,7 @@
 	// The data path must see the record before DrainPrimary ends what still runs.
 	c.publishView()
 	go func() {
-		c.Pool.DrainPrimary(l.Group, wait, l.Order())
+		c.Pool.DrainPrimary(l, wait)
 		if c.runInLoop(c.ctx, func() { c.markConfirmed(g, l.Order()) }) != nil {
 			return // the controller has stopped
 		}
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -485,26 +485,46 @@
 	s.idle = nil
 }
 
-// DrainPrimary ends the use of primaries named by leadership records older than
-// version. It waits up to wait for open transactions to end and then closes the
-// remaining connections. The view must contain the record of that version
-// before the call. After DrainPrimary returns, nothing more can be sent to the
-// old primaries.
-func (p *Pool) DrainPrimary(id fleet.GroupID, wait time.Duration, version uint64) {
+// isFormer reports whether a connection was acquired as that of a primary which a leadership
+// record replaces. Connections that were acquired under a later record are not.
+func (c *Conn) isFormer(l catalog.Leadership) bool {
+	return c.Primary && (c.recordVersion < l.Order() || c.recordVersion == l.Order() && c.catalogEntry.ID != l.Primary)
+}
+
+// formerPrimaries returns the connections in use that a leadership record ends. The caller
+// holds the lock.
+func (p *Pool) formerPrimaries(l catalog.Leadership) []*Conn {
+	var out []*Conn
+	for _, s := range p.endpoints {
+		if s.Group != l.Group {
+			continue
+		}
+		for c := range s.inUse {
+			if c.isFormer(l) && !c.revoked.Load() {
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+// UsesFormerPrimary reports whether something can still be sent to a primary that a leadership
+// record replaces. The view must contain the record.
+func (p *Pool) UsesFormerPrimary(l catalog.Leadership) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.formerPrimaries(l)) > 0
+}
+
+// DrainPrimary ends the use of the primaries that a leadership record replaces. It waits up
+// to wait for open transactions to end and then closes the remaining connections. The view
+// must contain the record before the call. After DrainPrimary returns, nothing more can be
+// sent to the old primaries.
+func (p *Pool) DrainPrimary(l catalog.Leadership, wait time.Duration) {
 	deadline := p.clock.Now() + wait
 	for {
 		p.mu.Lock()
-		var remaining []*Conn
-		for _, s := range p.endpoints {
-			if s.Group != id {
-				continue
-			}
-			for c := range s.inUse {
-				if c.Primary && c.recordVersion < version {
-					remaining = append(remaining, c)
-				}
-			}
-		}
+		remaining := p.formerPrimaries(l)
 		if len(remaining) == 0 || p.clock.Now() >= deadline {
 			for _, c := range remaining {
 				c.revoked.Store(true)
--- a/edge/pool/pool_test.go
+++ b/edge/pool/pool_test.go
@@ -31,3 +31,20 @@
 	s.Leaving = false
 	assert.Assert(t, s.mayBeUsed(time.Hour, 7*time.Second))
 }
+
+// Guards against an instance that confirms a change of primary by its number while something can
+// still be sent to the primary that it replaces: an instance of an earlier version may claim the
+// change under the number of the record that named this primary.
+func TestConfirmedChangeLeavesNoFormerPrimaryInUse(t *testing.T) {
+	p, _, _ := evacuationPool("z2")
+	c, err := p.Acquire(request(true, p))
+	assert.NilError(t, err)
+	assert.Assert(t, c.Primary && p.Permitted(c))
+	settled := p.view.Leaders["g"]
+	assert.Assert(t, !p.UsesFormerPrimary(settled))
+	claim := catalog.Leadership{Group: "g", Version: 2, Revision: settled.Revision, Former: "a", Users: settled.Users}
+	assert.Assert(t, p.UsesFormerPrimary(claim))
+	p.DrainPrimary(claim, 0)
+	assert.Assert(t, !p.UsesFormerPrimary(claim))
+	assert.Assert(t, !p.Permitted(c))
+}
