--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -187,12 +187,22 @@
 	Settled bool
 	// Planned marks a change that waits for open transactions and loses no commit.
 	Planned bool
+	// Confirming is set in an unsettled record while its holder may not promote yet.
+	// ConfirmingSince is the order of the first of the successive confirming records, and
+	// MayHavePromoted is set if a holder before that one may have promoted an endpoint. See
+	// package takeover.
+	Confirming      bool   `json:",omitempty"`
+	ConfirmingSince uint64 `json:",omitempty"`
+	MayHavePromoted bool   `json:",omitempty"`
 	// Users are the instances that may send statements to the primary, and that have
 	// to confirm a change. They are in ascending order.
 	Users []fleet.InstanceID `json:",omitempty"`
 	// Removed are those of the Users that must not send any more, because they are
 	// about to be removed. They are in ascending order.
 	Removed []fleet.InstanceID `json:",omitempty"`
+	// Unacknowledged is set while the Users include some that registered although most of the
+	// others did not answer. A majority of them may not know each other then.
+	Unacknowledged bool `json:",omitempty"`
 }
 
 // MayUse reports whether an instance may send statements to the primary.
@@ -243,7 +253,8 @@
 // Equal reports whether two records are the same.
 func (l Leadership) Equal(o Leadership) bool {
 	return slices.Equal(l.Users, o.Users) && slices.Equal(l.Removed, o.Removed) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary && l.PrimaryTerm == o.PrimaryTerm &&
-		l.Former == o.Former && l.Revision == o.Revision && l.Era == o.Era && l.RenewedEra == o.RenewedEra && l.Holder == o.Holder && l.Claim == o.Claim && l.Settled == o.Settled && l.Planned == o.Planned
+		l.Former == o.Former && l.Revision == o.Revision && l.Era == o.Era && l.RenewedEra == o.RenewedEra && l.Holder == o.Holder && l.Claim == o.Claim && l.Settled == o.Settled && l.Planned == o.Planned &&
+		l.Confirming == o.Confirming && l.ConfirmingSince == o.ConfirmingSince && l.MayHavePromoted == o.MayHavePromoted && l.Unacknowledged == o.Unacknowledged
 }
 
 // WithUser returns the record with another user, or with one that was about to be
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -48,7 +48,7 @@
 	MaxMajorityExtension = 30 * time.Second
 	// MaxPartialExtension is the same bound for a majority that lacks a member. The members
 	// that do not respond may be removed by one that reaches the store, without a majority;
-	// see takeover.RemovalEffectiveAt. The removal has to be over within 12 s of the loss.
+	// see takeover.TakesEffectAt. The removal has to be over within 12 s of the loss.
 	MaxPartialExtension = 4 * time.Second
 )
 
--- a/core/takeover/removal_search_test.go
+++ b/core/takeover/removal_search_test.go
@@ -10,17 +10,23 @@
 	"github.com/vanillahinge/vanillahinge/core/lease"
 )
 
-// removalSearch visits all states of a removal that c claims while a and b, the other users,
-// may be cut off from the store, from c and from each other at any time. The permissions and
-// the end of the wait are those of the production code.
+// removalSearch visits all states of a removal, or of a change of primary without a majority,
+// that c claims while a and b, the other users, may be cut off from the store, from c and from
+// each other at any time. The permissions and the end of the wait are those of the production
+// code.
 type removalSearch struct {
 	// known is set if a and b know c as a user. Otherwise they know each other only, and c
 	// does not reach them.
 	known bool
+	// joiners have registered with c although a and b did not answer, and confirm at once.
+	joiners int
+	// announces lets an earlier holder announce a new primary, once, before c claims the change
+	// again. Whoever is told uses that one until it learns of the claim of c.
+	announces bool
 	// step is the time between two moments. Coarser steps make fewer states of a long wait.
 	step time.Duration
 	// Mutations of the rules.
-	early, partialCounts, unacknowledged bool
+	early, partialCounts, unacknowledged, forgetJoiners, waitSinceFirstClaim bool
 }
 
 // removalUser is the state of a or b. Ages are in steps, none if there is no such event.
@@ -36,6 +42,8 @@
 type removalState struct {
 	users    [2]removalUser
 	claimAge int8
+	// earlierAge is the age of the claim of an earlier holder.
+	earlierAge int8
 }
 
 // removalNow is the present in the times that are passed to the production code.
@@ -76,6 +84,12 @@
 	}
 	claimed := s.ago(st.claimAge)
 	state := []Confirmation{{Member: "c", Confirmed: true, At: claimed}}
+	for range s.joiners {
+		state = append(state, state[0])
+	}
+	if s.waitSinceFirstClaim && st.earlierAge != none {
+		claimed = s.ago(st.earlierAge)
+	}
 	for i, id := range []fleet.InstanceID{"a", "b"} {
 		c := Confirmation{Member: id, KnowsHolder: s.known || s.unacknowledged}
 		if st.users[i].confirmAge != none {
@@ -83,7 +97,7 @@
 		}
 		state = append(state, c)
 	}
-	at := RemovalEffectiveAt(claimed, state)
+	at := TakesEffectAt(claimed, state, s.joiners == 0 || s.forgetJoiners)
 	if s.early {
 		at = claimed + lease.Duration + effectMargin
 	}
@@ -95,7 +109,7 @@
 	limit := int8((lease.MaxMajorityExtension+lease.Duration+effectMargin)/s.step + 1)
 	fresh := int8(lease.Duration/s.step + 1)
 	next := st
-	next.claimAge = older(st.claimAge, limit)
+	next.claimAge, next.earlierAge = older(st.claimAge, limit), older(st.earlierAge, limit)
 	for i := range next.users {
 		u := &next.users[i]
 		u.proofAge, u.confirmAge = older(u.proofAge, limit), older(u.confirmAge, limit)
@@ -111,6 +125,14 @@
 		next.claimAge = 0
 		f(next)
 	}
+	if s.announces && st.claimAge != none && st.earlierAge == none {
+		next = st
+		next.earlierAge, next.claimAge = st.claimAge, none
+		for i := range next.users {
+			next.users[i].knows, next.users[i].confirmAge = false, none
+		}
+		f(next)
+	}
 	for i := range st.users {
 		// A read of the store, which has the removal once it is claimed.
 		next = st
@@ -141,7 +163,7 @@
 // run visits the reachable states, at most limit. It reports whether a user may send after the
 // removal has taken effect.
 func (s *removalSearch) run(limit int) (violated bool, states int) {
-	first := removalState{claimAge: none}
+	first := removalState{claimAge: none, earlierAge: none}
 	for i := range first.users {
 		first.users[i] = removalUser{responseAge: [2]int8{none, none}, confirmAge: none}
 	}
@@ -169,16 +191,21 @@
 func TestNoReachableStateUsesPrimaryAfterRemoval(t *testing.T) {
 	const limit = 3_000_000
 	known, unknown := removalSearch{known: true, step: 1300 * time.Millisecond}, removalSearch{step: 2200 * time.Millisecond}
-	for _, s := range []removalSearch{known, unknown} {
+	joined := removalSearch{joiners: 4, step: unknown.step}
+	announced := removalSearch{known: true, announces: true, step: 1900 * time.Millisecond}
+	for _, s := range []removalSearch{known, unknown, joined, announced} {
 		violated, states := s.run(limit)
-		t.Logf("known %v: %d states", s.known, states)
+		t.Logf("known %v, joiners %d, announced %v: %d states", s.known, s.joiners, s.announces, states)
 		assert.Assert(t, !violated)
 		assert.Assert(t, states < limit, "not all states were visited")
 	}
 	early, partial, unacknowledged := known, known, unknown
 	early.early, partial.partialCounts, unacknowledged.unacknowledged = true, true, true
+	majority, first := joined, announced
+	majority.forgetJoiners, first.waitSinceFirstClaim = true, true
 	for name, s := range map[string]removalSearch{"wait without the partial extension": early,
-		"majority that counts like all users": partial, "user that the others do not know": unacknowledged} {
+		"majority that counts like all users": partial, "user that the others do not know": unacknowledged,
+		"majority of users that the others do not know": majority, "wait since before an announcement": first} {
 		violated, states := s.run(limit)
 		t.Logf("%s: %d states", name, states)
 		assert.Assert(t, violated, "mutation not detected: %s", name)
--- a/core/takeover/safety_test.go
+++ b/core/takeover/safety_test.go
@@ -159,7 +159,7 @@
 	for k := range state {
 		state[k].KnowsHolder = holder.known.hasUser(holder.id) && (m.removeUnacknowledged || holder.acknowledged[state[k].Member])
 	}
-	at := RemovalEffectiveAt(m.claimed, state)
+	at := TakesEffectAt(m.claimed, state, true)
 	if _, majority := EffectiveAt(m.claimed, state); !majority {
 		if m.removeEarly {
 			at = m.claimed + lease.Duration + effectMargin
--- a/core/takeover/search_test.go
+++ b/core/takeover/search_test.go
@@ -14,6 +14,7 @@
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/lease"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
 )
 
 // The search visits every state that the abstract rules of a change of primary can
@@ -77,17 +78,20 @@
 	// reuseOrder gives a claim on top of an unsettled record the order that its holder may
 	// have announced already.
 	reuseOrder bool
+	// promoteUnmarked lets a holder promote before the store has its promoting record, and
+	// withdrawPromoted lets it withdraw a change that an earlier holder may have carried out.
+	promoteUnmarked, withdrawPromoted bool
 }
 
 // searchRecord is a leadership record. Endpoints and instances are indices.
 type searchRecord struct {
 	version, order, primary, former, holder int8
 	users                                   uint8
-	settled                                 bool
+	settled, confirming, mayHavePromoted    bool
 }
 
 func (r searchRecord) record() catalog.Leadership {
-	return catalog.Leadership{Version: uint64(r.version), Revision: uint64(r.order), Settled: r.settled}
+	return catalog.Leadership{Version: uint64(r.version), Revision: uint64(r.order), Settled: r.settled, Confirming: r.confirming, MayHavePromoted: r.mayHavePromoted}
 }
 
 func (r searchRecord) newer(o searchRecord) bool { return r.record().Compare(o.record()) > 0 }
@@ -157,6 +161,9 @@
 	delays bool
 	// anyFirst lets any action precede the first claim, and any instance make it.
 	anyFirst bool
+	// marks lets a change go through a confirming and a promoting record, as the program does.
+	// Without it a holder promotes on its claim, as one of an earlier version does.
+	marks bool
 	// idle also yields actions that change nothing.
 	idle    bool
 	leases  map[[maxInstances + 3]int8]int8
@@ -538,7 +545,8 @@
 		}
 	}
 	emit("claims", i, 0, func(x *searchState) {
-		r := searchRecord{version: nd.known.version + 1, order: s.next(nd.known), primary: none, former: nd.known.primary, holder: int8(i), users: nd.known.users}
+		claim := Claim(nd.known.record(), 0)
+		r := searchRecord{version: nd.known.version + 1, order: s.next(nd.known), confirming: s.marks, mayHavePromoted: claim.MayHavePromoted, primary: none, former: nd.known.primary, holder: int8(i), users: nd.known.users}
 		if !nd.known.settled {
 			r.former = nd.known.former
 		}
@@ -575,7 +583,33 @@
 			emit("is refused by", i, j, func(x *searchState) { x.nodes[i].change.confirmAge[j] = 0 })
 		}
 	}
-	if ch.candidate == none && s.effective(ch) {
+	if s.marks && ch.record.confirming && ch.record.version == st.stored.version {
+		if s.effective(ch) {
+			emit("begins to promote", i, 0, func(x *searchState) {
+				r := ch.record
+				r.order, r.confirming = int8(Promoting(r.record(), 0).Revision), false
+				r.version++
+				x.stored, x.nodes[i].change.record, x.nodes[i].change.claimAge = r, r, 0
+				s.learn(x, i, r)
+			})
+		}
+		// The former primary may take itself for primary although another one has been promoted.
+		if r := ch.record.record(); MayWithdraw(r, stmt.EndpointState{Primary: true}) || s.withdrawPromoted && r.MayHavePromoted {
+			emit("withdraws", i, 0, func(x *searchState) {
+				l := Withdraw(r, "")
+				r := searchRecord{version: ch.record.version + 1, order: int8(l.Revision), primary: ch.record.former, former: none, holder: int8(i), users: ch.record.users, settled: true}
+				x.stored = r
+				s.endChange(x, i)
+				s.learn(x, i, r)
+				s.refresh(x, i)
+			})
+		}
+	}
+	mayPromote := s.effective(ch) && (!s.marks || s.promoteUnmarked)
+	if s.marks && !ch.record.confirming {
+		mayPromote = true
+	}
+	if ch.candidate == none && mayPromote {
 		for e := range int8(endpoints) {
 			if e == ch.record.former || e == endpoints-1 && st.claims == 1 {
 				continue // the two replicas are alike at first
@@ -710,6 +744,8 @@
 	{n: 2, users: 2, maxClaims: 3},
 	{rules: rules{announceBeforeStore: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1},
 	{rules: rules{announceBeforeStore: true}, n: 2, users: 2, maxClaims: 3},
+	{rules: rules{announceBeforeStore: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1, marks: true},
+	{n: 2, users: 2, maxClaims: 3, marks: true},
 }
 
 // Once another endpoint has taken over, no instance may send to the former primary, in any
@@ -753,6 +789,8 @@
 		"no wait":                                  {rules: rules{noWait: true}, n: 3, users: 3, maxClaims: 1},
 		"proof from before the start":              {rules: rules{oldProofs: true}, n: 3, users: 3, maxClaims: 1, maxKills: 1},
 		"response of an instance without a proof":  {rules: rules{unprovenResponses: true}, n: 3, users: 3, maxClaims: 1, maxKills: 1},
+		"promotion on a confirming record":         {rules: rules{promoteUnmarked: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1, marks: true},
+		"withdrawal although one was promoted":     {rules: rules{announceBeforeStore: true, withdrawPromoted: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1, marks: true},
 		"order of an announcement given out again": {rules: rules{announceBeforeStore: true, reuseOrder: true}, n: 2, users: 2, maxClaims: 2, maxKills: 1},
 	} {
 		play, states, _ := s.run(2_000_000)
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -4,12 +4,13 @@
 //  1. Claim: a conditional write marks the leadership record as unsettled, with a
 //     higher term.
 //  2. Confirm: the members confirm that they no longer send to the old primary; see
-//     EffectiveAt.
-//  3. Choose: the replicas stop receiving from the old primary, at the new term, and
-//     report their log positions; see Choose. The old primary is demoted if it can be
-//     reached.
-//  4. Promote: the chosen replica is promoted with the record's version as fencing
-//     token.
+//     TakesEffectAt. If most of them do not and the old primary answers, the change is
+//     withdrawn; see MayWithdraw.
+//  3. Choose: the replicas report their log positions, and stop receiving from the old
+//     primary if replication is synchronous; see Choose.
+//  4. Promote: a conditional write marks the record as promoting. The old primary is demoted
+//     if it can be reached, and the chosen replica is promoted with the record's version as
+//     fencing token.
 //  5. Settle: once the new primary has taken over, a conditional write marks the
 //     record as settled.
 package takeover
@@ -41,8 +42,13 @@
 	// members that have not confirmed (lease.Duration); the holder stops at
 	// HolderTimeout.
 	AbandonedAfter = 5500 * time.Millisecond
-	// HolderTimeout is how long after its claim a holder may still promote.
+	// HolderTimeout is how long after it began to write its promoting record a holder may
+	// still promote, and for how long it waits for confirmations before it claims again.
 	HolderTimeout = 4500 * time.Millisecond
+	// WithdrawAfter is how long a change may lack a majority of confirmations before it is
+	// withdrawn if the former primary answers. A user that runs confirms within milliseconds,
+	// one that is slow or has lost a packet within half a second.
+	WithdrawAfter = time.Second
 )
 
 // Confirmation is what is known of one member during a change of primary.
@@ -85,28 +91,31 @@
 	return at[need-1] + lease.Duration + effectMargin, true
 }
 
-// RemovalEffectiveAt returns the time from which no user that does not act on a removal of
-// users, claimed at claimed, uses the primary any more. Unlike a change of primary a removal
-// needs no majority:
+// TakesEffectAt returns the time from which no user that does not act on a change of primary,
+// or on a removal of users, uses the old primary any more. claimed is when this instance knew
+// the first of the successive claims since which nobody has been promoted; see
+// catalog.Leadership.ConfirmingSince. A majority as in EffectiveAt counts if it has
+// acknowledged the list of users. Otherwise time alone decides:
 //
 //   - If all users that have not confirmed know the holder as a user, none of them has a proof
 //     by all users that is younger than the claim, because the holder answers with its record.
 //     A proof by a majority ends lease.MaxPartialExtension after their last proof from the
 //     store, which is older than the claim.
 //   - Otherwise any proof without the store ends lease.MaxMajorityExtension after the claim.
-func RemovalEffectiveAt(claimed time.Duration, members []Confirmation) time.Duration {
-	if at, ok := EffectiveAt(claimed, members); ok {
-		return at
-	}
-	latest, confirmed, known := claimed, false, true
+func TakesEffectAt(claimed time.Duration, members []Confirmation, acknowledged bool) time.Duration {
+	latest, confirmed, all, known := claimed, false, true, true
 	for _, m := range members {
 		if m.Confirmed {
 			confirmed = true
 			latest = max(latest, m.At)
 		} else {
+			all = false
 			known = known && m.KnowsHolder
 		}
 	}
+	if at, ok := EffectiveAt(claimed, members); ok && (acknowledged || all) {
+		return at
+	}
 	extension := lease.MaxMajorityExtension
 	if confirmed && known {
 		extension = lease.MaxPartialExtension
--- a/edge/app/lost_test.go
+++ b/edge/app/lost_test.go
@@ -259,3 +259,78 @@
 	time.Sleep(recoveryTime - time.Since(lost))
 	assert.Assert(t, f.servesRate(last))
 }
+
+// loseMostUsers starts three instances, lets the primary crash, and kills two of its users at
+// the same time, so that a change of primary is claimed and never confirmed by a majority. It
+// returns the user that is left.
+func (f *testFleet) loseMostUsers() process {
+	f.config["services"] = []any{map[string]any{"name": "bookings", "max_conns": 8, "sync_replicas": 0}}
+	f.publish()
+	running := map[fleet.InstanceID]process{}
+	for i := range 3 {
+		id := fmt.Sprint("edge-", i+1)
+		running[fleet.InstanceID(id)] = f.startProcess(id, true)
+	}
+	users := f.awaitUsers(3, running).Users
+	f.endpoints[0].Crash()
+	for _, id := range users[1:] {
+		running[id].kill()
+	}
+	go f.serves(running[users[0]]) // the instance notices the crash by a statement
+	f.waitUntil(5*time.Second, func() bool { return !f.record().Settled })
+	return running[users[0]]
+}
+
+// Guards against a change of primary that ends never (review/9): it was claimed, most users of the
+// primary are lost for good, and their successors cannot become users. The primary comes back, and
+// then all processes are killed.
+func TestChangeWithoutMajorityIsWithdrawn(t *testing.T) {
+	f := newTestFleet(t)
+	last := f.loseMostUsers()
+	time.Sleep(2 * time.Second)
+	assert.NilError(t, f.endpoints[0].Restart())
+	back := time.Now()
+	f.waitUntil(recoveryTime, func() bool { return f.serves(last) })
+	t.Logf("serves %v after the primary is back", time.Since(back))
+	assert.Assert(t, f.endpoints[0].IsPrimary())
+	last.kill()
+	started := time.Now()
+	for _, p := range []process{f.startProcess(string(last.settings.Instance), false), f.startProcess("new-1", false), f.startProcess("new-2", false)} {
+		f.waitUntil(recoveryTime-time.Since(started), func() bool { return f.serves(p) })
+		t.Logf("%s serves %v after the start", p.settings.Instance, time.Since(started))
+	}
+}
+
+// Guards against the same when the primary does not come back: a replica is promoted once no lost
+// user can have permission any more.
+func TestChangeWithoutMajorityTakesEffect(t *testing.T) {
+	f := newTestFleet(t)
+	last := f.loseMostUsers()
+	lost := time.Now()
+	f.waitUntil(recoveryTime, func() bool { return f.serves(last) })
+	t.Logf("serves %v after the loss", time.Since(lost))
+}
+
+// Guards against a primary that nobody may use for 33 s because all its users are lost for good.
+func TestAllUsersLost(t *testing.T) {
+	f := newTestFleet(t)
+	f.config["services"] = []any{map[string]any{"name": "bookings", "max_conns": 8, "sync_replicas": 0}}
+	f.publish()
+	running := map[fleet.InstanceID]process{}
+	for i := range 4 {
+		id := fmt.Sprint("edge-", i+1)
+		running[fleet.InstanceID(id)] = f.startProcess(id, true)
+	}
+	users := f.awaitUsers(3, running).Users
+	for _, id := range users {
+		running[id].kill()
+		delete(running, id)
+	}
+	lost := time.Now()
+	running["new-1"] = f.startProcess("new-1", false)
+	for id, p := range running {
+		f.waitUntil(recoveryTime-time.Since(lost), func() bool { return f.serves(p) })
+		t.Logf("%s serves %v after the loss", id, time.Since(lost))
+	}
+	assert.Assert(t, f.record().Unacknowledged, "the lost users may still prove to each other that they know of no change")
+}
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -40,7 +40,7 @@
 // replacePrimary carries out a change of a group's primary, from the claim to
 // the settled record. It runs in a goroutine of its own.
 func (c *Controller) replacePrimary(ctx context.Context, old catalog.Leadership, cause takeover.Cause, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, takeover.HolderTimeout+settleTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*takeover.HolderTimeout+settleTimeout)
 	defer cancel()
 	defer func() {
 		// Clear the flag even when ctx has ended, so that a later change can start.
@@ -59,13 +59,19 @@
 		}
 	}
 	ch := &primaryChange{ctl: c, old: old, cause: cause, startedAt: c.Clock.Now()}
-	if !ch.claim(ctx) || !ch.awaitOldPrimaryUnused(ctx) {
+	if !ch.claim(ctx) {
 		return
 	}
-	if !ch.promote(ctx) {
-		return
+	switch former, result := ch.awaitOldPrimaryUnused(ctx); result {
+	case oldPrimaryUnused:
+		if ch.promote(ctx) {
+			ch.publishSettledRecord(ctx)
+		}
+	case formerPrimaryLeads:
+		ch.withdraw(ctx, former)
+	case notConfirmed:
+		c.Log.Warn("control: change of primary abandoned; not enough instances confirmed in time", "group", string(old.Group))
 	}
-	ch.publishSettledRecord(ctx)
 }
 
 // peersConfirmUnreachable asks some other instances whether they reach the
@@ -131,9 +137,11 @@
 
 	record    catalog.Leadership
 	claimedAt time.Duration
-	// calledAt is when the call that stored the claim began. The time of the holder counts
+	// calledAt is when the call that stored the record began. The time of the holder counts
 	// from then: it may have read the answer late.
 	calledAt time.Duration
+	// unconfirmed are the users that have not confirmed the change when it takes effect.
+	unconfirmed []fleet.InstanceID
 	// removal is set if users are removed and the primary stays. There is no call to the
 	// platform that could take effect late, so the time of the holder is not bounded.
 	removal bool
@@ -149,16 +157,11 @@
 // change. The write is conditional on the version of the old record.
 func (ch *primaryChange) claim(ctx context.Context) bool {
 	c, old := ch.ctl, ch.old
-	next := old.Next(c.era.Load())
-	l := catalog.Leadership{
-		Group: old.Group, Version: old.Version, Revision: next.Revision, Era: next.Era, RenewedEra: old.RenewedEra,
-		Term: max(old.Term, old.PrimaryTerm, c.Pool.Term(old.Group)) + 1, Former: old.Primary, PrimaryTerm: old.PrimaryTerm,
-		Holder: c.Self.ID, Claim: rand.Uint64(), Planned: isPlanned(ch.cause), Users: old.Users, Removed: old.Removed,
-	}
+	l := takeover.Claim(old, c.era.Load())
+	l.Term = max(old.Term, old.PrimaryTerm, c.Pool.Term(old.Group)) + 1
+	l.Holder, l.Claim, l.Planned = c.Self.ID, rand.Uint64(), isPlanned(ch.cause)
 	if !old.Settled {
-		// The primary from before the unfinished change may still be in use.
-		l.Former = old.Former
-		// It may be the only one with all acknowledged commits.
+		// The former primary may be the only one with all acknowledged commits.
 		l.Planned = old.Planned && c.View().Catalog.Groups[old.Group].SyncReplicas > 0
 	}
 	row, err := ch.encodeRow(l)
@@ -173,7 +176,7 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, kvstore.ErrNoAnswer):
-		if version = ch.awaitLateClaim(ctx, l.Claim); version == 0 {
+		if version = ch.awaitLateWrite(ctx, l); version == 0 {
 			c.Log.Warn("control: claim got no response from the store and did not appear in the table; change of primary abandoned", "group", string(old.Group))
 			return false
 		}
@@ -188,17 +191,17 @@
 	return c.runInLoop(ctx, func() { c.adoptLeadership(l); c.publishView() }) == nil
 }
 
-// awaitLateClaim waits until a claim whose response was lost appears in the
-// table, and returns its version; 0 if it does not.
-func (ch *primaryChange) awaitLateClaim(ctx context.Context, claim uint64) uint64 {
+// awaitLateWrite waits until an unsettled record of this change whose response was lost
+// appears in the table, and returns its version; 0 if it does not.
+func (ch *primaryChange) awaitLateWrite(ctx context.Context, l catalog.Leadership) uint64 {
 	c := ch.ctl
 	for deadline := c.Clock.Now() + lateClaimTimeout; c.Clock.Now() < deadline; {
 		var current catalog.Leadership
-		if c.runInLoop(ctx, func() { current = c.leadership(ch.old.Group) }) != nil {
+		if c.runInLoop(ctx, func() { current = c.leadership(l.Group) }) != nil {
 			return 0
 		}
-		if current.Order() > ch.old.Order() {
-			if current.Claim == claim && !current.Settled {
+		if current.Order() >= l.Order() {
+			if current.Claim == l.Claim && current.Order() == l.Order() {
 				return current.Version
 			}
 			return 0
@@ -218,7 +221,26 @@
 	if ch.ctl.runInLoop(ctx, func() { current = ch.ctl.leadership(ch.old.Group) }) != nil {
 		return false
 	}
-	return current.Order() == ch.record.Order() && ch.record.Era == ch.ctl.era.Load() && (ch.removal || ch.timeLeft() > 0)
+	if ch.record.Era != ch.ctl.era.Load() {
+		return false
+	}
+	if ch.removal {
+		return ch.stillRemoves(current)
+	}
+	return current.Order() == ch.record.Order() && ch.timeLeft() > 0
+}
+
+// stillRemoves reports whether the current record names all users as removed that this removal
+// does. Other instances may register meanwhile.
+func (ch *primaryChange) stillRemoves(current catalog.Leadership) bool {
+	return current.Settled && current.Era == ch.record.Era && current.PrimaryTerm == ch.record.PrimaryTerm && current.Primary == ch.record.Primary &&
+		!slices.ContainsFunc(ch.record.Removed, func(u fleet.InstanceID) bool { return !slices.Contains(current.Removed, u) })
+}
+
+// confirms reports whether an answer with the order of the record that a user acts on confirms
+// this change or removal.
+func (ch *primaryChange) confirms(order uint64) bool {
+	return order == ch.record.Order() || ch.removal && order > ch.record.Order()
 }
 
 // timeLeft returns for how long this instance may still act on its claim.
@@ -226,17 +248,116 @@
 	return ch.calledAt + takeover.HolderTimeout - ch.ctl.Clock.Now()
 }
 
-// awaitOldPrimaryUnused waits until no instance sends statements to the old primary.
-func (ch *primaryChange) awaitOldPrimaryUnused(ctx context.Context) bool {
-	confirmed, ok := ch.awaitConfirmations(ctx)
-	if !ok {
-		ch.ctl.Log.Warn("control: change of primary abandoned; not enough instances confirmed in time", "group", string(ch.old.Group))
-		return false
+// confirmationResult is how the wait for the users of the old primary ends.
+type confirmationResult uint8
+
+const (
+	// notConfirmed means that the claim is no longer valid.
+	notConfirmed confirmationResult = iota
+	// oldPrimaryUnused means that no instance sends to the old primary any more.
+	oldPrimaryUnused
+	// formerPrimaryLeads means that most users do not confirm and the old primary answers.
+	formerPrimaryLeads
+)
+
+// awaitOldPrimaryUnused waits until no instance sends statements to the old primary, or until
+// the change is to be withdrawn in favour of the former one, which it returns.
+func (ch *primaryChange) awaitOldPrimaryUnused(ctx context.Context) (former fleet.EndpointID, result confirmationResult) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	leads := make(chan fleet.EndpointID, 1)
+	go func() {
+		if id := ch.awaitFormerPrimary(ctx); id != "" {
+			leads <- id
+		}
+	}()
+	confirmed, former, result := ch.awaitConfirmations(ctx, leads)
+	if result == oldPrimaryUnused {
+		ch.ctl.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group), "users", len(ch.record.Users),
+			"confirmed", len(confirmed), "after_ms", (ch.ctl.Clock.Now() - ch.claimedAt).Milliseconds())
+		ch.unconfirmed = unconfirmed(ch.record.Users, confirmed)
+	}
+	return former, result
+}
+
+// formerPrimaryInterval is the time between two calls to the former primary of a change that
+// most users do not confirm.
+const formerPrimaryInterval = 200 * time.Millisecond
+
+// awaitFormerPrimary waits until the change may be withdrawn, from takeover.WithdrawAfter after
+// it began, and returns the former primary. It returns "" if ctx ends first, or if an endpoint
+// may have been promoted.
+func (ch *primaryChange) awaitFormerPrimary(ctx context.Context) fleet.EndpointID {
+	c := ch.ctl
+	for !ch.record.MayHavePromoted {
+		var candidates []catalog.Endpoint
+		if c.runInLoop(ctx, func() {
+			if c.Clock.Now() >= c.groupState(ch.record.Group).confirmingAt+takeover.WithdrawAfter {
+				candidates = c.formerPrimaries(ch.record)
+			}
+		}) != nil {
+			return ""
+		}
+		for _, e := range candidates {
+			s, err := c.runEndpointCommand(e, stmt.Statement{Kind: stmt.Status})
+			if err == nil && takeover.MayWithdraw(ch.record, s) {
+				return e.ID
+			}
+		}
+		if !sleep(ctx, formerPrimaryInterval) {
+			return ""
+		}
+	}
+	return ""
+}
+
+// formerPrimaries returns the endpoints that may be the former primary of a change: the one
+// that the record names, or the only one that reports itself as primary if that one has left
+// the list. A primary that has crashed comes back with its log, and may have another id.
+func (c *Controller) formerPrimaries(l catalog.Leadership) []catalog.Endpoint {
+	if e, ok := c.listed[l.Former]; ok {
+		return []catalog.Endpoint{e}
+	}
+	var out []catalog.Endpoint
+	for _, e := range c.listedByGroup[l.Group] {
+		if e.Primary {
+			out = append(out, e)
+		}
+	}
+	if len(out) != 1 {
+		return nil
+	}
+	return out
+}
+
+// withdraw stores the record that gives the change up in favour of the former primary.
+func (ch *primaryChange) withdraw(ctx context.Context, former fleet.EndpointID) {
+	c, l := ch.ctl, takeover.Withdraw(ch.record, former)
+	row, err := ch.encodeRow(l)
+	if err != nil {
+		c.Log.Warn("control: cannot encode the record of a withdrawn change", "error", err.Error())
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	version, err := c.apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+	if err != nil {
+		// If the write takes effect late, its record arrives with the table.
+		c.Log.Info("control: change of primary not withdrawn", "group", string(l.Group), "error", err.Error())
+		return
+	}
+	l.Version = version
+	c.Metrics.Count("changes_withdrawn")
+	c.Log.Warn("control: change of primary withdrawn; most users of the former primary do not confirm, and it answers",
+		"group", string(l.Group), "primary", string(l.Primary), "term", uint64(l.PrimaryTerm), "users", len(l.Users))
+	var g groupEndpoints
+	if c.runInLoop(ctx, func() {
+		c.adoptLeadership(l)
+		c.publishView()
+		g = c.groupEndpoints(l.Group, l.Primary)
+	}) == nil && g.syncReplicas > 0 {
+		c.resumeReplicas(l, g.replicas)
 	}
-	ch.ctl.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group), "users", len(ch.record.Users),
-		"confirmed", len(confirmed), "after_ms", (ch.ctl.Clock.Now() - ch.claimedAt).Milliseconds())
-	ch.record.Removed = unconfirmed(ch.record.Users, confirmed)
-	return true
 }
 
 // unconfirmed returns the users that have not confirmed a change. The settled record names
@@ -248,14 +369,21 @@
 }
 
 // awaitConfirmations waits until every user acts on the record or has no permission any
-// more, see takeover.EffectiveAt, and returns those that do.
-func (ch *primaryChange) awaitConfirmations(ctx context.Context) (confirmed []fleet.InstanceID, ok bool) {
+// more, see takeover.TakesEffectAt, and returns those that do. It ends early if fewer than a
+// majority have confirmed once leads brings the former primary.
+func (ch *primaryChange) awaitConfirmations(ctx context.Context, leads <-chan fleet.EndpointID) (confirmed []fleet.InstanceID, former fleet.EndpointID, result confirmationResult) {
 	c, ids := ch.ctl, ch.record.Users
-	renewed := time.Duration(0)
-	if ch.record.RenewedEra > 0 && ch.record.RenewedEra == ch.record.Era {
-		if c.runInLoop(ctx, func() { renewed = c.groupState(ch.record.Group).renewedAt + takeover.RenewalWait }) != nil {
-			return nil, false
+	claimed, renewed := ch.claimedAt, time.Duration(0)
+	if c.runInLoop(ctx, func() {
+		g := c.groupState(ch.record.Group)
+		if ch.record.Confirming && g.confirmingSince == ch.record.ConfirmingSince {
+			claimed = g.confirmingAt
 		}
+		if ch.record.RenewedEra > 0 && ch.record.RenewedEra == ch.record.Era {
+			renewed = g.renewedAt + takeover.RenewalWait
+		}
+	}) != nil {
+		return nil, "", notConfirmed
 	}
 	var mu sync.Mutex
 	state := make([]takeover.Confirmation, len(ids))
@@ -269,18 +397,15 @@
 	}
 	for {
 		var acknowledged map[fleet.InstanceID]bool
-		if ch.removal && c.runInLoop(ctx, func() { acknowledged = maps.Clone(c.groupState(ch.record.Group).acknowledged) }) != nil {
-			return nil, false
+		if c.runInLoop(ctx, func() { acknowledged = maps.Clone(c.groupState(ch.record.Group).acknowledged) }) != nil {
+			return nil, "", notConfirmed
 		}
 		mu.Lock()
-		at, effective := takeover.EffectiveAt(ch.claimedAt, state)
-		if ch.removal {
-			for i := range state {
-				state[i].KnowsHolder = ch.record.MayUse(c.Self.ID) && acknowledged[state[i].Member]
-			}
-			at, effective = takeover.RemovalEffectiveAt(ch.claimedAt, state), true
+		for i := range state {
+			state[i].KnowsHolder = ch.record.MayUse(c.Self.ID) && acknowledged[state[i].Member]
 		}
-		at = max(at, renewed)
+		at := max(takeover.TakesEffectAt(claimed, state, !ch.record.Unacknowledged), renewed)
+		_, majority := takeover.EffectiveAt(claimed, state)
 		confirmed = confirmed[:0]
 		for _, s := range state {
 			if s.Confirmed {
@@ -288,11 +413,18 @@
 			}
 		}
 		mu.Unlock()
-		if effective && c.Clock.Now() >= at {
-			return confirmed, true
+		select {
+		case former = <-leads:
+		default:
+		}
+		switch {
+		case c.Clock.Now() >= at:
+			return confirmed, "", oldPrimaryUnused
+		case former != "" && (!majority || ch.record.Unacknowledged):
+			return confirmed, former, formerPrimaryLeads
 		}
 		if !ch.claimValid(ctx) || !sleep(ctx, changePollInterval/2) {
-			return nil, false
+			return nil, "", notConfirmed
 		}
 	}
 }
@@ -305,7 +437,7 @@
 	for ch.claimValid(ctx) {
 		if id == c.Self.ID {
 			res, err := c.Confirm(ctx, &peerrpc.ConfirmRequest{Record: ch.record})
-			if err == nil && res.Version == ch.record.Order() {
+			if err == nil && ch.confirms(res.Version) {
 				confirmed(c.Clock.Now())
 				return
 			}
@@ -323,7 +455,7 @@
 		call, cancel := context.WithTimeout(ctx, confirmTimeout)
 		res, err := p.client.Confirm(call, &peerrpc.ConfirmRequest{Record: ch.record})
 		cancel()
-		if err == nil && res.Version == ch.record.Order() {
+		if err == nil && ch.confirms(res.Version) {
 			confirmed(c.Clock.Now())
 			return
 		}
@@ -384,12 +516,8 @@
 		}
 		// A demoted primary may stop sending its log to the replicas, so its position is
 		// read before it is demoted, and collectPositions waits for a replica to reach it.
-		// With synchronous replicas it goes on sending until then.
 		former := ch.formerPosition(ctx, g.former)
 		formerKnown := former != (fleet.LogPosition{})
-		if g.syncReplicas == 0 || !formerKnown {
-			ch.demoteFormer(g.former)
-		}
 		ask := stmt.Statement{Kind: stmt.Status}
 		switch {
 		case g.syncReplicas > 0 && formerKnown:
@@ -439,7 +567,10 @@
 				"group", string(ch.old.Group), "endpoint", string(best.Endpoint), "missing", evidence.Missing,
 				"waited_ms", takeover.MaxAcknowledgedWait.Milliseconds())
 		}
-		if evidence.SyncReplicas > 0 && evidence.Former != (fleet.LogPosition{}) {
+		if ch.record.Confirming {
+			if !ch.beginPromotion(ctx) {
+				return false
+			}
 			ch.demoteFormer(g.former)
 		}
 		termBefore := takeover.TermBefore(previousTerm, ch.record, best, evidence.Candidates)
@@ -453,7 +584,7 @@
 		switch {
 		case err == nil:
 			if term, ok := ch.awaitTakeover(ctx, g.replicas, best.Endpoint, termBefore); ok {
-				ch.record = ch.record.Settle(best.Endpoint, term)
+				ch.record = takeover.Complete(ch.record, best.Endpoint, term, ch.unconfirmed)
 				return true
 			}
 		case c.Promoter.IsRefusal(err):
@@ -470,6 +601,42 @@
 	return false
 }
 
+// beginPromotion stores the record with which this instance may promote. It reports whether the
+// store has it; see takeover.Promoting.
+func (ch *primaryChange) beginPromotion(ctx context.Context) bool {
+	c := ch.ctl
+	l := takeover.Promoting(ch.record, c.era.Load())
+	row, err := ch.encodeRow(l)
+	if err != nil {
+		c.Log.Warn("control: cannot encode the record of a promotion", "error", err.Error())
+		return false
+	}
+	for ch.claimValid(ctx) {
+		called := c.Clock.Now()
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		version, err := c.apply(call, kvstore.Transaction{Require: []kvstore.Row{row}, Put: []kvstore.Row{row}})
+		cancel()
+		if errors.Is(err, kvstore.ErrNoAnswer) {
+			if version = ch.awaitLateWrite(ctx, l); version > 0 {
+				err = nil
+			}
+		}
+		switch {
+		case err == nil:
+			l.Version = version
+			ch.record, ch.calledAt = l, called
+			return c.runInLoop(ctx, func() { c.adoptLeadership(l); c.publishView() }) == nil
+		case !errors.Is(err, kvstore.ErrRefused):
+			c.Log.Info("control: promotion not begun; the store has no record of it", "group", string(l.Group), "error", err.Error())
+			return false
+		}
+		if !sleep(ctx, changePollInterval) {
+			return false
+		}
+	}
+	return false
+}
+
 // acknowledgedWaitIsOver reports whether the group has been without a primary for
 // takeover.MaxAcknowledgedWait.
 func (ch *primaryChange) acknowledgedWaitIsOver(ctx context.Context) bool {
--- a/edge/control/change_test.go
+++ b/edge/control/change_test.go
@@ -9,6 +9,7 @@
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/kvstore"
+	"github.com/vanillahinge/vanillahinge/core/takeover"
 	"github.com/vanillahinge/vanillahinge/edge/view"
 )
 
@@ -21,9 +22,11 @@
 	ch := &primaryChange{ctl: c, old: catalog.Leadership{Group: "bookings"}, claimedAt: c.Clock.Now(), startedAt: c.Clock.Now(),
 		record: catalog.Leadership{Group: "bookings", Version: 2, Revision: 2, Term: 2, Former: "e1", Holder: "self", Users: users}}
 	assert.NilError(t, c.runInLoop(ctx, func() { c.adoptLeadership(ch.record) }))
-	assert.Assert(t, ch.awaitOldPrimaryUnused(ctx))
-	assert.DeepEqual(t, ch.record.Users, users)
-	assert.DeepEqual(t, ch.record.Removed, []fleet.InstanceID{"peer-1"})
+	_, result := ch.awaitOldPrimaryUnused(ctx)
+	assert.Equal(t, result, oldPrimaryUnused)
+	settled := takeover.Complete(ch.record, "e2", 3, ch.unconfirmed)
+	assert.DeepEqual(t, settled.Users, users)
+	assert.DeepEqual(t, settled.Removed, []fleet.InstanceID{"peer-1"})
 }
 
 // Guards against a holder that is restarted before the store has the primary which it announced,
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -202,19 +202,25 @@
 	// unsettledSince is when this instance learned of the first of the unsettled records
 	// since the last settled one.
 	unsettledSince time.Duration
+	// confirmingSince is the catalog.Leadership.ConfirmingSince of the newest confirming
+	// record, and confirmingAt is when this instance learned the first record with it.
+	confirmingSince uint64
+	confirmingAt    time.Duration
 	// joining is set while this instance registers as a user of the primary. nextJoin
 	// is when it may try again, and joinRequestedAt when a statement last needed it.
 	joining                   bool
 	nextJoin, joinRequestedAt time.Duration
-	// removing is set while this instance removes users that are gone.
-	removing bool
+	// removing is set while this instance removes users that are gone, and lostSince is when
+	// it first found some lost that are to be removed without a majority, 0 if there are none.
+	removing  bool
+	lostSince time.Duration
 	// stableKeepers are the first present keepers of the group since keepersSince.
 	stableKeepers []fleet.InstanceID
 	keepersSince  time.Duration
 	// primaryRegion is the region in which the primary was last known.
 	primaryRegion fleet.Region
 	// acknowledged are the instances that act on a record in which this one is a user of the
-	// primary; see takeover.RemovalEffectiveAt.
+	// primary; see takeover.TakesEffectAt.
 	acknowledged map[fleet.InstanceID]bool
 	// removals counts the records in which this instance is no user. An acknowledgement that
 	// was requested before such a record does not count after it.
@@ -395,7 +401,7 @@
 			return false
 		}
 	}
-	if !l.Settled || l.Term != old.Term || l.Primary != old.Primary && old.Version > 0 {
+	if !l.Settled || l.PrimaryTerm != old.PrimaryTerm || l.Primary != old.Primary && old.Version > 0 {
 		g.changedVersion, g.changedOrder = l.Version, l.Order()
 	}
 	g.record, g.learnedAt = l, c.Clock.Now()
@@ -407,12 +413,15 @@
 	if !l.Settled && (old.Settled || old.Version == 0) {
 		g.unsettledSince = g.learnedAt
 	}
+	if l.Confirming && l.ConfirmingSince != g.confirmingSince {
+		g.confirmingSince, g.confirmingAt = l.ConfirmingSince, g.learnedAt
+	}
 	if l.RenewedEra > old.RenewedEra {
 		g.renewedAt = g.learnedAt
 	}
 	c.Log.Info("control: leadership record adopted", "group", string(l.Group), "version", l.Version, "era", l.Era, "revision", l.Revision,
 		"term", uint64(l.Term),
-		"primary", string(l.Primary), "former", string(l.Former), "settled", l.Settled, "holder", string(l.Holder))
+		"primary", string(l.Primary), "former", string(l.Former), "settled", l.Settled, "confirming", l.Confirming, "holder", string(l.Holder))
 	c.Metrics.Count("leader_records")
 	c.signalChange()
 	c.renewLease()
@@ -565,14 +574,17 @@
 			continue
 		}
 		c.joinUsers(ctx, now, id, g)
+		c.acknowledgeUsers(ctx, now, id, g)
 		c.removeGoneUsers(ctx, now, id, g)
 		s, addr := c.takeoverObservation(id, now)
 		if s.Rank == 0 {
 			c.checkHolder(ctx, now, g)
 		}
 		cause := takeover.ReplacementCause(s)
-		if s.Record.Settled && len(c.silentUsers(now, s.Record)) > 0 {
-			continue // no change takes effect before these users are removed or answer
+		if s.Record.Settled && len(c.silentUsers(now, s.Record)) > 0 && (cause != takeover.Gone || g.removing && !s.Record.Unacknowledged) {
+			// These users are removed first: a change would wait as long. A primary that has left
+			// the list may have started again under another id.
+			continue
 		}
 		if cause == takeover.None || c.leaving || !c.registered() || cause == takeover.Unreachable && now < g.changeStartedAt+reachRetryInterval {
 			continue
--- a/edge/control/era.go
+++ b/edge/control/era.go
@@ -272,6 +272,8 @@
 		return false
 	}
 	record.RenewedEra = era
+	// The store may have lost the record with which the holder of a change began to promote.
+	record.Confirming = false
 	if !c.storeRecord(ctx, &record) {
 		return false
 	}
--- a/edge/control/refused_test.go
+++ b/edge/control/refused_test.go
@@ -27,8 +27,8 @@
 	ctx := context.Background()
 	ch := &primaryChange{ctl: c, old: catalog.Leadership{Group: "bookings"}, record: refusedRecord, claimedAt: c.Clock.Now(), startedAt: c.Clock.Now()}
 	assert.NilError(t, c.runInLoop(ctx, func() { c.adoptLeadership(ch.record) }))
-	confirmed, ok := ch.awaitConfirmations(ctx)
-	assert.Assert(t, ok)
+	confirmed, _, result := ch.awaitConfirmations(ctx, nil)
+	assert.Equal(t, result, oldPrimaryUnused)
 	assert.DeepEqual(t, confirmed, []fleet.InstanceID{"peer-0", "self"})
 	assert.Assert(t, c.Clock.Now()-ch.claimedAt >= lease.Duration, "effective after %v", c.Clock.Now()-ch.claimedAt)
 }
@@ -43,8 +43,8 @@
 	record.Users = []fleet.InstanceID{"peer-0", "peer-1", "peer-2", "self"}
 	ch := &primaryChange{ctl: c, old: catalog.Leadership{Group: "bookings"}, record: record, claimedAt: c.Clock.Now(), startedAt: c.Clock.Now()}
 	assert.NilError(t, c.runInLoop(ctx, func() { c.adoptLeadership(ch.record) }))
-	_, ok := ch.awaitConfirmations(ctx)
-	assert.Assert(t, !ok, "two of four users have confirmed")
+	_, _, result := ch.awaitConfirmations(ctx, nil)
+	assert.Equal(t, result, notConfirmed, "two of four users have confirmed")
 }
 
 // Guards against two holders of one change: the first is behind a network that refuses
@@ -68,7 +68,7 @@
 	c := startController(t, 2)
 	record := refusedRecord
 	record.Settled, record.Primary = true, "e2"
-	assert.Assert(t, !c.majorityKnows(context.Background(), record))
+	assert.Assert(t, c.knowing(context.Background(), record) < lease.Majority(len(record.Users)))
 }
 
 // Guards against an instance that takes itself for the only one, and gives each account its
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -133,13 +133,14 @@
 // goneAfter is how long a member must be absent before it is removed as a user of
 // primaries, and memberGoneAfter before its record is: the root needs a majority of the
 // records. A restart takes less. lostAfter is how long so many users of a primary must be down
-// that the others are no majority before they are removed without one. needlessAfter
-// is how long the keepers of a group must be the same before other users are removed.
+// that the others are no majority before they are removed without one, and lostUnknownAfter the
+// same for an instance whose removal takes the longer wait. needlessAfter is how long the keepers of a group must be the same before other users are removed.
 const (
-	goneAfter       = 5 * time.Second
-	needlessAfter   = 3 * time.Second
-	lostAfter       = time.Second
-	memberGoneAfter = 10 * time.Second
+	goneAfter        = 5 * time.Second
+	needlessAfter    = 3 * time.Second
+	lostAfter        = time.Second
+	lostUnknownAfter = lostAfter + 1500*time.Millisecond
+	memberGoneAfter  = 10 * time.Second
 )
 
 // removeGoneUsers removes users of a primary that have been absent for long, so that a
@@ -152,8 +153,19 @@
 		return
 	}
 	gone := c.lostUsers(now, record)
-	if len(gone) > 0 && !c.removesLostUsers(id, record) || len(gone) == 0 && c.keeperRank(id) > 0 {
-		return
+	switch {
+	case len(gone) == 0:
+		g.lostSince = 0
+		if c.keeperRank(id) > 0 {
+			return
+		}
+	case g.lostSince == 0:
+		g.lostSince = now // silentUsers has waited for lostAfter
+		fallthrough
+	default:
+		if !c.knownBy(gone, record) && (now < g.lostSince+lostUnknownAfter-lostAfter || !c.removesLostUsers(id, record)) {
+			return
+		}
 	}
 	for _, u := range record.Users {
 		if since, absent := c.absentSince[u]; absent && now >= since+goneAfter && !slices.Contains(gone, u) {
@@ -171,15 +183,11 @@
 		return
 	}
 	if len(record.Removed) > 0 && (slices.Contains(record.Removed, c.Self.ID) || !slices.ContainsFunc(gone, record.MayUse)) {
-		// Another instance has begun and not finished. Each write of the record makes its
-		// wait begin anew. One that removes this instance may run although it does not
-		// answer here.
+		// Another instance has begun and not finished.
 		unfinished := takeover.AbandonedAfter
-		present := c.presentUsers(record)
-		if record.MayUse(c.Self.ID) {
-			present++
-		}
-		if present < lease.Majority(len(record.Users)) {
+		if present := c.presentUsers(record); slices.Contains(record.Removed, c.Self.ID) && present < lease.Majority(len(record.Users)) {
+			// One that removes this instance may run although it does not answer here, and a
+			// removal of others would end its wait.
 			unfinished += lease.MaxMajorityExtension
 		}
 		if now < g.learnedAt+unfinished {
@@ -222,7 +230,7 @@
 		return ok && now < at+returnedFor
 	}
 	lost := slices.DeleteFunc(c.silentUsers(now, record), returned)
-	if len(record.Users)-len(lost) >= lease.Majority(len(record.Users)) {
+	if len(lost) == 0 || !lackMajority(record, lost) {
 		return nil
 	}
 	// Those that have just been found down are removed with the others: a second removal
@@ -235,6 +243,12 @@
 	return lost
 }
 
+// lackMajority reports whether the users of a primary without the given ones are no majority
+// that can confirm a change.
+func lackMajority(record catalog.Leadership, without []fleet.InstanceID) bool {
+	return record.Unacknowledged || len(record.Users)-len(without) < lease.Majority(len(record.Users))
+}
+
 // silentUsers returns the users of a primary that have not answered for lostAfter, if the
 // others are no majority.
 func (c *Controller) silentUsers(now time.Duration, record catalog.Leadership) []fleet.InstanceID {
@@ -247,14 +261,21 @@
 			silent = append(silent, u)
 		}
 	}
-	if len(record.Users)-len(silent) >= lease.Majority(len(record.Users)) {
+	if !lackMajority(record, silent) {
 		return nil
 	}
 	return silent
 }
 
+// knownBy reports whether all given users of a primary know this instance as a user, so that
+// their removal by it takes the shorter wait of takeover.TakesEffectAt.
+func (c *Controller) knownBy(users []fleet.InstanceID, record catalog.Leadership) bool {
+	known := c.groupState(record.Group).acknowledged
+	return record.MayUse(c.Self.ID) && !slices.ContainsFunc(users, func(u fleet.InstanceID) bool { return !known[u] })
+}
+
 // removesLostUsers reports whether it is this instance that removes the lost users of a
-// primary: the first of the users that are left, which takes the least time, or the first
+// primary if it is known by none: the first of the users that are left, or the first
 // present keeper if none is.
 func (c *Controller) removesLostUsers(id fleet.GroupID, record catalog.Leadership) bool {
 	if c.presentUsers(record) == 0 && !record.MayUse(c.Self.ID) {
@@ -301,13 +322,22 @@
 		return
 	}
 	ch := &primaryChange{ctl: c, old: old, record: l, startedAt: c.Clock.Now(), claimedAt: c.Clock.Now(), calledAt: c.Clock.Now(), removal: true}
-	if _, ok := ch.awaitConfirmations(ctx); !ok {
+	if _, _, result := ch.awaitConfirmations(ctx, nil); result != oldPrimaryUnused {
 		return
 	}
-	l.Users = slices.DeleteFunc(slices.Clone(l.Users), func(u fleet.InstanceID) bool { return slices.Contains(gone, u) })
-	l.Removed = nil
-	if c.storeRecord(ctx, &l) {
-		c.Log.Info("control: users of a primary removed", "group", string(l.Group), "removed", gone, "users", len(l.Users))
+	for {
+		// Others may have registered since.
+		if c.runInLoop(ctx, func() { l = c.leadership(old.Group) }) != nil || !ch.stillRemoves(l) {
+			return
+		}
+		l = takeover.RemoveUsers(ch.record, l)
+		if c.storeRecord(ctx, &l) {
+			c.Log.Info("control: users of a primary removed", "group", string(l.Group), "removed", gone, "users", len(l.Users))
+			return
+		}
+		if !sleep(ctx, maxJoinPause) {
+			return
+		}
 	}
 }
 
@@ -430,10 +460,18 @@
 
 // join stores a record in which this instance is a user of the primary. The write is
 // conditional on the version of the record without it, so that a change of primary
-// that is claimed later asks this instance.
+// that is claimed later asks this instance. While most of the users do not answer it is stored
+// without their acknowledgement: the primary is used until they have been removed.
 func (c *Controller) join(ctx context.Context, old catalog.Leadership, g *group) {
 	l := old.WithUser(c.Self.ID)
-	ok := c.majorityKnows(ctx, old) && c.storeRecord(ctx, &l)
+	known := c.knowing(ctx, old)
+	ok := len(old.Users) == 0 || known >= lease.Majority(len(old.Users))
+	if !ok && !slices.Contains(old.Removed, c.Self.ID) && c.runInLoop(ctx, func() {
+		ok = len(c.silentUsers(c.Clock.Now(), old)) > 0
+	}) == nil {
+		l.Unacknowledged = true
+	}
+	ok = ok && c.storeRecord(ctx, &l)
 	c.Metrics.Count("user_registrations")
 	if c.runInLoop(ctx, func() {
 		g.joining = false
@@ -445,14 +483,16 @@
 	}
 }
 
-// acknowledgeTimeout bounds the calls of majorityKnows.
+// acknowledgeTimeout bounds the calls of knowing.
 const acknowledgeTimeout = 250 * time.Millisecond
 
-// majorityKnows reports whether a majority of the users of a primary acts on the record;
-// package lease says why another user may be added only then.
-func (c *Controller) majorityKnows(ctx context.Context, l catalog.Leadership) bool {
+// knowing returns how many users of a primary act on the record, this instance included;
+// package lease says why another user may be added only if a majority does. It stops counting
+// at a majority, unless the record is unacknowledged. Users that do not answer are called once
+// more, to learn whether they are down.
+func (c *Controller) knowing(ctx context.Context, l catalog.Leadership) int {
 	if len(l.Users) == 0 {
-		return true
+		return 0
 	}
 	call, cancel := context.WithTimeout(ctx, acknowledgeTimeout)
 	defer cancel()
@@ -471,18 +511,56 @@
 			}
 			res, err := peers[0].client.Confirm(call, &peerrpc.ConfirmRequest{Record: l})
 			answers <- err == nil && res.Version >= l.Order()
+			if err != nil {
+				c.probe(ctx, peers[0])
+			}
 		}()
 	}
-	known := 0
+	known, enough := 0, lease.Majority(len(l.Users))
+	if l.Unacknowledged {
+		enough = len(l.Users)
+	}
 	for range l.Users {
 		if <-answers {
 			known++
 		}
-		if known >= lease.Majority(len(l.Users)) {
-			return true
+		if known >= enough {
+			break
 		}
 	}
-	return false
+	return known
+}
+
+// probe calls another instance to learn whether it is down.
+func (c *Controller) probe(ctx context.Context, p *peer) {
+	var req peerrpc.WatchRequest
+	if c.runInLoop(ctx, func() { req = c.watchRequest(c.Clock.Now(), p, 0) }) == nil {
+		c.watch(ctx, p, &req)
+	}
+}
+
+// acknowledgeInterval is the time between two attempts to learn that all users act on an
+// unacknowledged record.
+const acknowledgeInterval = time.Second
+
+// acknowledgeUsers stores a record as acknowledged once all its users act on it.
+func (c *Controller) acknowledgeUsers(ctx context.Context, now time.Duration, id fleet.GroupID, g *group) {
+	record := c.leadership(id)
+	if !record.Unacknowledged || !record.Settled || g.joining || g.removing || now < g.nextJoin || !record.MayUse(c.Self.ID) ||
+		c.leaving || !c.registered() || !c.removesLostUsers(id, record) || len(c.silentUsers(now, record)) > 0 {
+		return
+	}
+	g.joining, g.nextJoin = true, now+acknowledgeInterval
+	go func() {
+		if c.knowing(ctx, record) == len(record.Users) {
+			l := record
+			l.Unacknowledged = false
+			c.storeRecord(ctx, &l)
+		}
+		if c.runInLoop(ctx, func() { g.joining = false }) != nil {
+			return // the controller has stopped
+		}
+	}()
 }
 
 // fellowUsers returns the other users of the primaries that this instance may use.
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -424,6 +424,9 @@
 			}
 			if e.Leaving && !s.Leaving {
 				s.leavingSince = p.clock.Now()
+				if firstView {
+					s.leavingSince -= p.drainTime // since when is not known
+				}
 			}
 			p.updateEntry(s, e, isNew, firstView, p.clock.Now())
 			s.Endpoint, s.listed = e, true
--- a/edge/pool/pool_test.go
+++ b/edge/pool/pool_test.go
@@ -1,12 +1,17 @@
 package pool
 
 import (
+	"io"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/edge/clock"
+	"github.com/vanillahinge/vanillahinge/edge/telemetry"
+	"github.com/vanillahinge/vanillahinge/edge/view"
 )
 
 // TestConnectionLimitLeavesRoomForSuccessors guards against instances that
@@ -48,3 +53,18 @@
 	assert.Assert(t, !p.UsesFormerPrimary(claim))
 	assert.Assert(t, !p.Permitted(c))
 }
+
+// Guards against statements to a primary that had said that it is leaving before this process
+// started, for as long again as it may be used (drawn day loss6, DRAIN 24).
+func TestPrimaryThatLeftBeforeTheStartIsNotUsed(t *testing.T) {
+	p := New(clock.New(), &countingDialer{}, telemetry.NewLog(io.Discard, "test"), telemetry.NewMetrics(), "z1")
+	p.SetDrainTime(7 * time.Second)
+	show := func(leaving bool) *endpointState {
+		p.SetView(&view.View{Catalog: &catalog.Catalog{Groups: map[fleet.GroupID]catalog.Group{"g": {ID: "g", MaxConnections: 40}}},
+			Endpoints: map[fleet.GroupID][]catalog.Endpoint{"g": {{ID: "a", Group: "g", Slots: 3, Leaving: leaving}}}})
+		return p.endpoints["a"]
+	}
+	assert.Assert(t, !show(true).mayBeUsed(p.clock.Now(), p.drainTime))
+	assert.Assert(t, show(false).mayBeUsed(p.clock.Now(), p.drainTime))
+	assert.Assert(t, show(true).mayBeUsed(p.clock.Now(), p.drainTime), "it has just said so")
+}
