core/takeover: a log that may lack acknowledged commits is never promoted

The former primary was no evidence and was demoted, an endpoint that had left the list was forgotten after 2.5 s, and 30 s ended the wait in any case.

The former primary is asked, bounds what may be promoted and leads again if nobody has been promoted. Endpoints that left the list count as missing for ten minutes. Users tell with their confirmation what they have acknowledged, so that a log which holds it is promoted whoever is missing. The old primary is demoted once the platform has accepted another one.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -184,34 +184,36 @@
 	SyncReplicas int
 	// Candidates are the replicas that have reported their positions.
 	Candidates []Candidate
-	// Missing counts the other endpoints that may have received acknowledged commits.
+	// Missing counts the other endpoints that may have received acknowledged commits, also
+	// those that have left the platform's list: they may come back with their logs.
 	Missing int
-	// Former is the last position of the old primary in a planned change, zero if the old
-	// primary does not answer. Replicas that receive from it reach this position.
+	// Former is the last position of the old primary, zero if it does not answer. Replicas
+	// that receive from it reach this position.
 	Former fleet.LogPosition
+	// Acknowledged is a position that covers every commit which any user of the old primary has
+	// acknowledged to a caller, zero if that is not known of all users.
+	Acknowledged fleet.LogPosition
 }
 
 // HoldsAcknowledged reports whether the log of the chosen candidate is known to hold every
 // acknowledged commit: it has all that the old primary has or, if that is not known, all that
-// any of the candidates has received, and too few endpoints are missing for a commit to have
-// been acknowledged by them alone.
+// the users have acknowledged or all that any of the candidates has received, where too few
+// endpoints are missing for a commit to have been acknowledged by them alone. There is no time
+// after which an endpoint is promoted without that: the commits may come back with an endpoint,
+// and an operator who gives them up sets the group's number of synchronous replicas to 0.
 func (e Evidence) HoldsAcknowledged(chosen Candidate) bool {
 	switch {
 	case e.SyncReplicas == 0, chosen.TakenOver && chosen.Term == HighestTerm(0, e.Candidates):
 		return true
 	case e.Former != (fleet.LogPosition{}):
 		return chosen.Received.Compare(e.Former) >= 0
+	case e.Acknowledged != (fleet.LogPosition{}) && chosen.Received.Compare(e.Acknowledged) >= 0:
+		return true
 	}
 	return e.Missing < e.SyncReplicas &&
 		!slices.ContainsFunc(e.Candidates, func(c Candidate) bool { return c.Received.Compare(chosen.Received) > 0 })
 }
 
-// MaxAcknowledgedWait bounds the time for which a group with synchronous replicas goes
-// without a primary because an endpoint that may hold acknowledged commits does not answer.
-// The platform's list drops an endpoint that has stopped within a few seconds; only one that
-// is listed and unreachable is waited for longer.
-const MaxAcknowledgedWait = 30 * time.Second
-
 // ReadyForPlannedChange reports whether a planned change of a group with synchronous replicas
 // may begin: a replica that stays has received what its primary had. Until then the primary
 // is the only endpoint with all commits, and it still serves.
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -133,3 +133,57 @@
 	assert.Assert(t, ReadyForPlannedChange(at, []Candidate{{Endpoint: "a", Received: at}}))
 	assert.Assert(t, !ReadyForPlannedChange(at, []Candidate{{Endpoint: "a", Received: at, Refused: true}}))
 }
+
+// Guards against a log that is promoted although it may lack acknowledged commits, whatever the
+// time that has passed, and against one that is not though it is known to have them.
+func TestHoldsAcknowledged(t *testing.T) {
+	at := func(n fleet.Position) fleet.LogPosition { return fleet.LogPosition{Term: 1, Position: n} }
+	one := Candidate{Endpoint: "r", Received: at(5)}
+	for name, k := range map[string]struct {
+		e    Evidence
+		want bool
+	}{
+		"no other endpoint":                          {Evidence{}, true},
+		"another one is missing":                     {Evidence{Missing: 1}, false},
+		"missing, but all is known to be here":       {Evidence{Missing: 2, Acknowledged: at(5)}, true},
+		"something is not here":                      {Evidence{Missing: 2, Acknowledged: at(6)}, false},
+		"the old primary has more":                   {Evidence{Former: at(6), Acknowledged: at(5)}, false},
+		"the old primary has as much":                {Evidence{Missing: 2, Former: at(5)}, true},
+		"another candidate has more":                 {Evidence{Candidates: []Candidate{{Received: at(6)}}}, false},
+		"another has more, which nobody was told of": {Evidence{Candidates: []Candidate{{Received: at(6)}}, Acknowledged: at(5)}, true},
+	} {
+		k.e.SyncReplicas = 1
+		k.e.Candidates = append(k.e.Candidates, one)
+		assert.Equal(t, k.e.HoldsAcknowledged(one), k.want, name)
+	}
+}
+
+// Guards against a position that is taken to cover all acknowledged commits although a process
+// whose acknowledgements nobody reports may have had more.
+func TestAllAcknowledged(t *testing.T) {
+	at := func(n fleet.Position) fleet.LogPosition { return fleet.LogPosition{Term: 1, Position: n} }
+	change := catalog.Leadership{ConfirmingSince: 8}
+	based := &AcknowledgedCommits{Position: at(5), Record: 7, Base: true}
+	idle := &AcknowledgedCommits{Record: 7, RanBefore: true}
+	restarted := &AcknowledgedCommits{Position: at(9), Record: 7}
+	earlier := &AcknowledgedCommits{Position: at(6), Record: 6, Base: true, RanBefore: true}
+	for name, k := range map[string]struct {
+		change catalog.Leadership
+		users  []*AcknowledgedCommits
+		want   fleet.Position
+	}{
+		"one that is idle":                        {change, []*AcknowledgedCommits{based, idle}, 5},
+		"one that knows only an earlier record":   {change, []*AcknowledgedCommits{based, earlier}, 6},
+		"nobody has asked the primary":            {change, []*AcknowledgedCommits{idle, idle}, 0},
+		"nobody has since the users were changed": {change, []*AcknowledgedCommits{earlier, idle}, 0},
+		"one that was restarted":                  {change, []*AcknowledgedCommits{based, restarted}, 0},
+		"one that does not tell":                  {change, []*AcknowledgedCommits{based, nil}, 0},
+		"another endpoint may have been promoted": {catalog.Leadership{ConfirmingSince: 8, MayHavePromoted: true}, []*AcknowledgedCommits{based, idle}, 0},
+	} {
+		got, known := AllAcknowledged(k.change, k.users)
+		assert.Equal(t, known, k.want > 0, name)
+		if known {
+			assert.Equal(t, got, at(k.want), name)
+		}
+	}
+}
--- a/edge/app/sync_test.go
+++ b/edge/app/sync_test.go
@@ -143,3 +143,59 @@
 	assert.Assert(t, time.Since(start) < 2*time.Second)
 	assert.Equal(t, len(f.group.Violations()), 0)
 }
+
+// loseTwo lets a replica receive nothing while the session writes, and then the primary and the
+// other replica crash, which leaves the list. It returns the acknowledged items.
+func (f *testFleet) loseTwo(c *client) []string {
+	items := c.write("early", 3)
+	f.endpoints[2].SetDeaf(true)
+	items = append(items, c.write("late", 3)...)
+	assert.Equal(f.t, len(items), 6)
+	f.endpoints[0].Crash()
+	f.endpoints[1].Crash()
+	f.store.Delete("servers", f.endpoints[1].ID)
+	return items
+}
+
+// Guards against acknowledged commits that are lost although the primary which has them is back
+// and answers: the replica that lacks them was promoted once the other one had left the list
+// (review/6).
+func TestPrimaryThatIsBackWithAcknowledgedCommitsLeadsAgain(t *testing.T) {
+	f, c := syncFleet(t)
+	items := f.loseTwo(c)
+	for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+		c.query("PUT other booked") // the instance notices the crash by a statement
+	}
+	assert.NilError(t, f.endpoints[0].Restart())
+	a, _ := f.startInstance("edge-3", false)
+	c, _ = dial(t, a, "latest", "key-acme")
+	f.assertLeads(c, f.endpoints[0], items)
+}
+
+// Guards against the promotion of a replica that lacks acknowledged commits because the endpoints
+// that have them have left the list: it must wait until one of them is back.
+func TestReplicaWithoutAcknowledgedCommitsIsNotPromoted(t *testing.T) {
+	f, c := syncFleet(t)
+	items := f.loseTwo(c)
+	f.store.Delete("servers", f.endpoints[0].ID)
+	for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(100 * time.Millisecond) {
+		assert.Assert(t, !f.endpoints[2].IsPrimary(), "promoted %v after the crash", time.Since(start))
+	}
+	assert.NilError(t, f.endpoints[1].Restart())
+	a, _ := f.startInstance("edge-3", false)
+	c, _ = dial(t, a, "latest", "key-acme")
+	f.assertLeads(c, f.endpoints[1], items)
+}
+
+// Guards against a group without a primary although the only endpoint left has all that the
+// instances have acknowledged.
+func TestOnlyReplicaWithAcknowledgedCommitsIsPromoted(t *testing.T) {
+	f, c := syncFleet(t)
+	time.Sleep(time.Second) // both instances act on the record with both users
+	items := c.write("item", 6)
+	assert.Equal(t, len(items), 6)
+	f.waitUntil(time.Second, func() bool { _, ok := f.endpoints[2].Value("item5"); return ok })
+	f.endpoints[0].Crash()
+	f.endpoints[1].Crash()
+	f.assertLeads(c, f.endpoints[2], items)
+}
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -142,6 +142,11 @@
 	calledAt time.Duration
 	// unconfirmed are the users that have not confirmed the change when it takes effect.
 	unconfirmed []fleet.InstanceID
+	// acknowledged covers all commits that the users have acknowledged to callers, zero if that
+	// is not known.
+	acknowledged fleet.LogPosition
+	// putOff is set once no log was known to hold all acknowledged commits.
+	putOff bool
 	// removal is set if users are removed and the primary stays. There is no call to the
 	// platform that could take effect late, so the time of the holder is not bounded.
 	removal bool
@@ -387,12 +392,14 @@
 	}
 	var mu sync.Mutex
 	state := make([]takeover.Confirmation, len(ids))
+	acknowledgedCommits := make([]*takeover.AcknowledgedCommits, len(ids))
 	for i, id := range ids {
 		state[i].Member = id
-		go ch.requestConfirmation(ctx, id, func(at time.Duration) {
+		go ch.requestConfirmation(ctx, id, func(at time.Duration, known *takeover.AcknowledgedCommits) {
 			mu.Lock()
 			defer mu.Unlock()
 			state[i].Confirmed, state[i].At = true, at
+			acknowledgedCommits[i] = known
 		})
 	}
 	for {
@@ -412,6 +419,10 @@
 				confirmed = append(confirmed, s.Member)
 			}
 		}
+		ch.acknowledged = fleet.LogPosition{}
+		if at, known := takeover.AllAcknowledged(ch.record, acknowledgedCommits); known {
+			ch.acknowledged = at
+		}
 		mu.Unlock()
 		select {
 		case former = <-leads:
@@ -432,13 +443,13 @@
 // requestConfirmation calls one member until it confirms the change or the claim
 // is no longer valid. A refused connection confirms nothing: a network may refuse it on
 // behalf of a machine that it cuts off.
-func (ch *primaryChange) requestConfirmation(ctx context.Context, id fleet.InstanceID, confirmed func(at time.Duration)) {
+func (ch *primaryChange) requestConfirmation(ctx context.Context, id fleet.InstanceID, confirmed func(at time.Duration, known *takeover.AcknowledgedCommits)) {
 	c := ch.ctl
 	for ch.claimValid(ctx) {
 		if id == c.Self.ID {
 			res, err := c.Confirm(ctx, &peerrpc.ConfirmRequest{Record: ch.record})
 			if err == nil && ch.confirms(res.Version) {
-				confirmed(c.Clock.Now())
+				confirmed(c.Clock.Now(), res.Acknowledged)
 				return
 			}
 			continue
@@ -449,14 +460,14 @@
 			return
 		}
 		if left {
-			confirmed(c.Clock.Now())
+			confirmed(c.Clock.Now(), nil)
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, confirmTimeout)
 		res, err := p.client.Confirm(call, &peerrpc.ConfirmRequest{Record: ch.record})
 		cancel()
 		if err == nil && ch.confirms(res.Version) {
-			confirmed(c.Clock.Now())
+			confirmed(c.Clock.Now(), res.Acknowledged)
 			return
 		}
 		if !sleep(ctx, changePollInterval) {
@@ -468,18 +479,18 @@
 // Confirm serves the call of the holder of a change: it adopts the record and
 // returns once this instance has stopped using earlier primaries.
 func (c *Controller) Confirm(ctx context.Context, req *peerrpc.ConfirmRequest) (*peerrpc.ConfirmResponse, error) {
-	done := make(chan uint64, 1)
+	done := make(chan *peerrpc.ConfirmResponse, 1)
 	if err := c.runInLoop(ctx, func() {
 		c.adoptLeadership(req.Record)
 		c.publishView()
 		g := c.groupState(req.Record.Group)
 		if req.Record.Era < c.era.Load() {
 			// Somebody may have been told otherwise since the store lost the record.
-			done <- 0
+			done <- &peerrpc.ConfirmResponse{}
 			return
 		}
 		if g.confirmedVersion >= req.Record.Order() && !c.Pool.UsesFormerPrimary(g.record) {
-			done <- g.confirmedVersion
+			done <- c.confirmation(g, g.confirmedVersion)
 			return
 		}
 		g.confirmWaiters = append(g.confirmWaiters, done)
@@ -487,8 +498,8 @@
 		return nil, err
 	}
 	select {
-	case v := <-done:
-		return &peerrpc.ConfirmResponse{Version: v}, nil
+	case res := <-done:
+		return res, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -505,10 +516,12 @@
 
 // promote promotes the most advanced replica and waits until it is the primary. In a group
 // with synchronous replicas it asks for their logs until one is known to hold all acknowledged
-// commits.
+// commits. If the former primary comes back with its log before, the change is withdrawn.
 func (ch *primaryChange) promote(ctx context.Context) bool {
 	c := ch.ctl
 	candidates := 0
+	// lastFormer is what the former primary had when it was last asked. Nobody uses it any more.
+	var lastFormer fleet.LogPosition
 	for ch.claimValid(ctx) {
 		var g groupEndpoints
 		if c.runInLoop(ctx, func() { g = c.groupEndpoints(ch.old.Group, ch.record.Former) }) != nil {
@@ -517,6 +530,9 @@
 		// A demoted primary may stop sending its log to the replicas, so its position is
 		// read before it is demoted, and collectPositions waits for a replica to reach it.
 		former := ch.formerPosition(ctx, g.former)
+		if !ch.record.Planned {
+			former = lastFormer
+		}
 		formerKnown := former != (fleet.LogPosition{})
 		ask := stmt.Statement{Kind: stmt.Status}
 		switch {
@@ -529,7 +545,7 @@
 			ask = stmt.Statement{Kind: stmt.Pause, Term: ch.record.Term}
 		}
 		previousTerm := takeover.FormerTerm(ch.record, c.Pool.Term(ch.old.Group))
-		evidence := ch.collectPositions(ctx, g, ask, former, previousTerm)
+		evidence, leads := ch.collectPositions(ctx, g, ask, former, previousTerm)
 		candidates = len(evidence.Candidates)
 		if ch.promoteBest(ctx, g, evidence, previousTerm) {
 			if g.syncReplicas > 0 {
@@ -537,6 +553,13 @@
 			}
 			return true
 		}
+		if leads.id != "" {
+			lastFormer = leads.state.Received
+			if !ch.record.Planned && takeover.MayWithdraw(ch.record, leads.state) {
+				ch.withdraw(ctx, leads.id)
+				return false
+			}
+		}
 		if g.syncReplicas == 0 || !sleep(ctx, changePollInterval) {
 			break
 		}
@@ -557,21 +580,18 @@
 			return false
 		}
 		if !evidence.HoldsAcknowledged(best) {
-			if !ch.acknowledgedWaitIsOver(ctx) {
-				c.Log.Info("control: waiting for endpoints that may hold acknowledged commits", "group", string(ch.old.Group),
-					"missing", evidence.Missing, "best", string(best.Endpoint))
+			if ch.putOff {
 				return false
 			}
-			c.Metrics.Count("promotions_unproved")
-			c.Log.Warn("control: the new primary may lack acknowledged commits; the endpoints that may hold them did not answer in time",
-				"group", string(ch.old.Group), "endpoint", string(best.Endpoint), "missing", evidence.Missing,
-				"waited_ms", takeover.MaxAcknowledgedWait.Milliseconds())
+			ch.putOff = true
+			c.Metrics.Count("promotions_put_off")
+			c.Log.Warn("control: no log is known to hold all acknowledged commits; bring the endpoints that are missing back, or set sync_replicas to 0 to give up what they alone have",
+				"group", string(ch.old.Group), "missing", evidence.Missing, "best", string(best.Endpoint), "position", uint64(best.Received.Position),
+				"former", uint64(evidence.Former.Position), "acknowledged", uint64(evidence.Acknowledged.Position))
+			return false
 		}
-		if ch.record.Confirming {
-			if !ch.beginPromotion(ctx) {
-				return false
-			}
-			ch.demoteFormer(g.former)
+		if ch.record.Confirming && !ch.beginPromotion(ctx) {
+			return false
 		}
 		termBefore := takeover.TermBefore(previousTerm, ch.record, best, evidence.Candidates)
 		call, cancel := context.WithTimeout(ctx, min(promoteTimeout, ch.timeLeft()))
@@ -583,6 +603,9 @@
 			"former_had", uint64(evidence.Former.Position), "error", errorText(err))
 		switch {
 		case err == nil:
+			// Before, it may be the only endpoint with all acknowledged commits that the platform
+			// can promote: the call changes nothing for an endpoint that it takes for the primary.
+			ch.demoteFormer(g.former)
 			if term, ok := ch.awaitTakeover(ctx, g.replicas, best.Endpoint, termBefore); ok {
 				ch.record = takeover.Complete(ch.record, best.Endpoint, term, ch.unconfirmed)
 				return true
@@ -637,21 +660,6 @@
 	return false
 }
 
-// acknowledgedWaitIsOver reports whether the group has been without a primary for
-// takeover.MaxAcknowledgedWait.
-func (ch *primaryChange) acknowledgedWaitIsOver(ctx context.Context) bool {
-	over := false
-	if ch.ctl.runInLoop(ctx, func() {
-		if c := ch.ctl; len(c.View().Evacuated) > 0 && !c.provableOutside(c.groupEndpoints(ch.old.Group, ch.record.Former)) {
-			return // the commits are in the evacuated data centre; they are not given up
-		}
-		over = ch.ctl.Clock.Now() >= ch.ctl.groupState(ch.old.Group).unsettledSince+takeover.MaxAcknowledgedWait
-	}) != nil {
-		return false
-	}
-	return over
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -191,7 +191,7 @@
 	// confirmedVersion is the order of the newest record for which this instance
 	// has stopped using earlier primaries.
 	confirmedVersion uint64
-	confirmWaiters   []chan uint64
+	confirmWaiters   []chan *peerrpc.ConfirmResponse
 	// changing is set while this instance carries out a change of primary.
 	changing bool
 	// changeStartedAt is when this instance last began a change. A change for an
@@ -199,13 +199,14 @@
 	changeStartedAt time.Duration
 	// plannedChangeAt is when a planned change that was put off is considered again.
 	plannedChangeAt time.Duration
-	// unsettledSince is when this instance learned of the first of the unsettled records
-	// since the last settled one.
-	unsettledSince time.Duration
 	// confirmingSince is the catalog.Leadership.ConfirmingSince of the newest confirming
 	// record, and confirmingAt is when this instance learned the first record with it.
 	confirmingSince uint64
 	confirmingAt    time.Duration
+	// settledOrder is the order of the newest settled record, and ranBefore is set if this
+	// process has acted on an earlier record; see takeover.AcknowledgedCommits.
+	settledOrder uint64
+	ranBefore    bool
 	// joining is set while this instance registers as a user of the primary. nextJoin
 	// is when it may try again, and joinRequestedAt when a statement last needed it.
 	joining                   bool
@@ -410,8 +411,8 @@
 		g.acknowledged = nil
 		g.removals++
 	}
-	if !l.Settled && (old.Settled || old.Version == 0) {
-		g.unsettledSince = g.learnedAt
+	if l.Settled {
+		g.settledOrder, g.ranBefore = l.Order(), old.Version > 0
 	}
 	if l.Confirming && l.ConfirmingSince != g.confirmingSince {
 		g.confirmingSince, g.confirmingAt = l.ConfirmingSince, g.learnedAt
@@ -444,12 +445,24 @@
 	return true
 }
 
+// confirmation returns the answer to a Confirm call, given the order of the record that this
+// instance acts on.
+func (c *Controller) confirmation(g *group, order uint64) *peerrpc.ConfirmResponse {
+	res := &peerrpc.ConfirmResponse{Version: order}
+	if !g.record.Settled {
+		known := &takeover.AcknowledgedCommits{Record: g.settledOrder, RanBefore: g.ranBefore}
+		known.Position, known.Base = c.Pool.Acknowledged(g.record.Group)
+		res.Acknowledged = known
+	}
+	return res
+}
+
 // markConfirmed records that this instance no longer uses primaries from before
 // the record of the given order, and answers the waiting Confirm calls.
 func (c *Controller) markConfirmed(g *group, version uint64) {
 	g.confirmedVersion = max(g.confirmedVersion, version)
 	for _, w := range g.confirmWaiters {
-		w <- g.confirmedVersion
+		w <- c.confirmation(g, g.confirmedVersion)
 	}
 	g.confirmWaiters = nil
 }
--- a/edge/control/entries.go
+++ b/edge/control/entries.go
@@ -11,6 +11,9 @@
 	// goneRetention is how long an endpoint that has left the list is remembered. The
 	// store comes back from copies that are seconds old.
 	goneRetention = time.Minute
+	// logRetention is the same in a group with synchronous replicas, where an endpoint that has
+	// left the list may come back as the only one with acknowledged commits.
+	logRetention = 10 * time.Minute
 	// goneDoubt is how long an entry from a copy of the store does not count for an
 	// endpoint that had left the list. One that runs reports again within 2 s, and the
 	// entry of another lapses after three heartbeats.
@@ -66,9 +69,13 @@
 func (c *Controller) reviewEntries(now time.Duration) {
 	review := false
 	for id, k := range c.entries {
+		retention := goneRetention
+		if c.catalog != nil && c.catalog.Groups[k.entry.Group].SyncReplicas > 0 {
+			retention = logRetention
+		}
 		switch {
 		case !k.gone:
-		case now >= k.goneAt+goneRetention:
+		case now >= k.goneAt+retention:
 			delete(c.entries, id)
 		case k.copied > 0 && !k.reviewed && now >= k.copiedAt+goneDoubt:
 			k.reviewed, review = true, true
--- a/edge/control/positions.go
+++ b/edge/control/positions.go
@@ -39,8 +39,8 @@
 }
 
 // groupEndpoints returns the endpoints of a group other than former. With synchronous replicas
-// an endpoint that has just left the list is one of them, unless another one has its address
-// and so its log: it may be the only one with the latest commits.
+// those that have left the list are among them, unless another one has their address and so
+// their log: each may be the only one with the latest commits, and come back.
 // For the same reason those in an evacuated data centre are among them then; they are asked
 // while that is permitted, and never promoted.
 func (c *Controller) groupEndpoints(id fleet.GroupID, former fleet.EndpointID) groupEndpoints {
@@ -55,9 +55,16 @@
 	if g.syncReplicas == 0 {
 		return g
 	}
-	for eid := range c.unlisted {
-		switch e := c.lastEntries[eid]; {
-		case e.Group != id || addrs[e.Addr]:
+	if k := c.entries[former]; k != nil && g.former.ID == "" && !addrs[k.entry.Addr] {
+		g.former = k.entry
+	}
+	for eid, k := range c.entries {
+		e := k.entry
+		if last, ok := c.lastEntries[eid]; ok {
+			e = last
+		}
+		switch {
+		case !k.gone || e.Group != id || addrs[e.Addr]:
 		case eid == former:
 			g.successorDue = e.Leaving
 		default:
@@ -89,7 +96,7 @@
 		reports := c.askReplicas(ctx, g.replicas, stmt.Statement{Kind: stmt.Status}, primary.Received)
 		defer reports.stop()
 		for deadline := c.Clock.Now() + catchUpTimeout; c.Clock.Now() < deadline; {
-			if takeover.ReadyForPlannedChange(primary.Received, reports.candidates(old.Former, 0)) {
+			if replicas, _, _ := reports.candidates(old.Former, 0); takeover.ReadyForPlannedChange(primary.Received, replicas) {
 				return true
 			}
 			if !sleep(ctx, changePollInterval) {
@@ -109,14 +116,24 @@
 // stays has the position of the former primary, if that is known, or, with synchronous replicas,
 // until one is known to hold all acknowledged commits, and then up to otherReplicasWait for the
 // rest. An endpoint that leads a term above previousTerm has taken over.
-func (ch *primaryChange) collectPositions(ctx context.Context, g groupEndpoints, ask stmt.Statement, former fleet.LogPosition, previousTerm fleet.Term) takeover.Evidence {
+//
+// With synchronous replicas the former primary is asked as well. It is returned if it still
+// leads its term, maybe under another id.
+func (ch *primaryChange) collectPositions(ctx context.Context, g groupEndpoints, ask stmt.Statement, former fleet.LogPosition, previousTerm fleet.Term) (takeover.Evidence, formerPrimary) {
 	c := ch.ctl
 	reports := c.askReplicas(ctx, g.replicas, ask, former)
+	if g.syncReplicas > 0 && g.former.ID != "" {
+		defer c.askFormer(ctx, reports, g.former)()
+	}
 	defer reports.stop()
 	start := c.Clock.Now()
 	for {
-		e := takeover.Evidence{SyncReplicas: g.syncReplicas, Candidates: reports.candidates(ch.old.Former, previousTerm), Former: former}
-		e.Missing = len(g.replicas) - len(e.Candidates)
+		e := takeover.Evidence{SyncReplicas: g.syncReplicas, Former: former, Acknowledged: ch.acknowledged}
+		var leads formerPrimary
+		e.Candidates, leads, e.Missing = reports.candidates(ch.old.Former, previousTerm)
+		if leads.id != "" {
+			e.Former = leads.state.Received
+		}
 		if g.successorDue {
 			e.Missing += g.syncReplicas // it has all commits, so that any of them may be there alone
 		}
@@ -130,11 +147,12 @@
 		waited := c.Clock.Now() - start
 		switch {
 		case reached && (len(e.Candidates) == len(g.replicas) || waited >= otherReplicasWait),
+			leads.id != "" && !ch.record.Planned && waited >= otherReplicasWait,
 			len(e.Candidates) > 0 && waited >= catchUpTimeout-changePollInterval:
-			return e
+			return e, leads
 		case len(e.Candidates) == 0 && waited >= firstReplicaTimeout:
-			if g.syncReplicas > 0 && !ch.acknowledgedWaitIsOver(ctx) {
-				return e
+			if g.syncReplicas > 0 {
+				return e, leads
 			}
 			// No replica answers. Promoting any of them is better than none.
 			for _, r := range g.replicas {
@@ -143,14 +161,30 @@
 				}
 				e.Candidates = append(e.Candidates, takeover.Candidate{Endpoint: r.ID, Leaving: r.Leaving, HomeScore: c.homeScore(r), SameDataCentre: r.DataCentre == c.Self.DataCentre})
 			}
-			return e
+			return e, leads
 		}
 		if !sleep(ctx, changePollInterval/2) {
-			return takeover.Evidence{SyncReplicas: g.syncReplicas}
+			return takeover.Evidence{SyncReplicas: g.syncReplicas}, formerPrimary{}
 		}
 	}
 }
 
+// formerPrimary is the state of the old primary, while it still leads its term.
+type formerPrimary struct {
+	id    fleet.EndpointID
+	state stmt.EndpointState
+}
+
+// askFormer asks the old primary for its state, as one of the reports, until the returned
+// function is called.
+func (c *Controller) askFormer(ctx context.Context, r *replicaReports, e catalog.Endpoint) (stop func()) {
+	former := c.askReplicas(ctx, []catalog.Endpoint{e}, stmt.Statement{Kind: stmt.Status}, fleet.LogPosition{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.former = former
+	return former.stop
+}
+
 // replicaReports collects what replicas answer to a command.
 type replicaReports struct {
 	ctl  *Controller
@@ -158,6 +192,8 @@
 
 	mu    sync.Mutex
 	found []replicaReport
+	// former is the report of the old primary, nil if it is not asked.
+	former *replicaReports
 }
 
 type replicaReport struct {
@@ -193,14 +229,28 @@
 	return r
 }
 
-// candidates returns the replicas that have answered. suspect was the primary before the last
-// one.
-func (r *replicaReports) candidates(suspect fleet.EndpointID, previousTerm fleet.Term) []takeover.Candidate {
+// candidates returns the replicas that have answered, the old primary if it leads previousTerm,
+// and how many replicas have not answered. suspect was the primary before the last one.
+func (r *replicaReports) candidates(suspect fleet.EndpointID, previousTerm fleet.Term) (out []takeover.Candidate, leads formerPrimary, missing int) {
 	r.mu.Lock()
+	found := r.found
+	for _, f := range found {
+		if !f.answered {
+			missing++
+		}
+	}
+	if r.former != nil {
+		r.former.mu.Lock()
+		found = append(slices.Clone(found), r.former.found...)
+		r.former.mu.Unlock()
+	}
 	defer r.mu.Unlock()
-	var out []takeover.Candidate
-	for _, f := range r.found {
-		if f.answered {
+	for _, f := range found {
+		switch {
+		case !f.answered:
+		case r.former != nil && f.state.Primary && f.state.Term == previousTerm:
+			leads = formerPrimary{f.endpoint.ID, f.state}
+		default:
 			out = append(out, takeover.Candidate{Endpoint: f.endpoint.ID, Received: f.state.Received, Term: max(f.state.Term, f.state.Received.Term),
 				TakenOver: takeover.HasTakenOver(f.state, previousTerm), Leaving: f.endpoint.Leaving,
 				Refused:        r.ctl.View().Evacuated.Has(f.endpoint.DataCentre),
@@ -209,7 +259,7 @@
 				SameDataCentre: f.endpoint.DataCentre == r.ctl.Self.DataCentre})
 		}
 	}
-	return out
+	return out, leads, missing
 }
 
 // resumeReplicas lets the replicas that were paused for a change receive from the new primary,
--- a/edge/executor/local.go
+++ b/edge/executor/local.go
@@ -333,6 +333,9 @@
 		}
 		a, sent, err := l.send(c, minPosition, ex, deadline, false)
 		if err == nil && a.Code == stmt.OK {
+			if writes && a.Signature != "" {
+				l.Pool.RecordCommit(c, a.Position)
+			}
 			if a.Signature == "" {
 				err = fmt.Errorf("%w: success without a signature", stmt.ErrLost)
 			} else if writes && !l.Pool.Permitted(c) {
@@ -601,6 +604,9 @@
 		c := tx.conn
 		switch {
 		case err == nil && a.Code == stmt.OK && a.Signature != "":
+			if commit && tx.wrote {
+				l.Pool.RecordCommit(c, a.Position)
+			}
 			if commit && tx.wrote && !l.Pool.Permitted(c) {
 				tx.conn = nil
 				l.Pool.Release(c, false)
--- a/edge/peerrpc/peerrpc.go
+++ b/edge/peerrpc/peerrpc.go
@@ -18,6 +18,7 @@
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/kvstore"
+	"github.com/vanillahinge/vanillahinge/core/takeover"
 )
 
 // TableState describes the version of an instance's copy of a table.
@@ -109,6 +110,9 @@
 	// Version is the order of the record that the instance acts on, 0 if the record of
 	// the request is from an earlier era than the instance's copy of the table.
 	Version uint64 `json:"v"`
+	// Acknowledged is what the instance knows of the acknowledged commits of the group; nil
+	// from an instance of an earlier version.
+	Acknowledged *takeover.AcknowledgedCommits `json:"a,omitempty"`
 }
 
 // ReachRequest asks an instance whether it can reach an endpoint.
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -201,6 +201,11 @@
 	waiting queuePolicy
 	// positions holds the log positions reported by the primary.
 	positions staleread.PositionHistory
+	// acknowledged covers the commits that this instance has acknowledged to callers. base is a
+	// position that the primary reported in its answer to a statement sent at baseFrom or
+	// later, when the last settled record became known here; zero if there is none yet.
+	acknowledged, base fleet.LogPosition
+	baseFrom           time.Duration
 	// changedAt is when the group's leadership record last changed, and
 	// unsettledAt when it last changed from settled to unsettled.
 	changedAt, unsettledAt time.Duration
@@ -401,6 +406,9 @@
 				p.beginRamp(s, warmup.Promoted, p.clock.Now())
 			}
 		}
+		if now.Settled && now.Order() != before.Order() {
+			g.base, g.baseFrom = fleet.LogPosition{}, p.clock.Now()
+		}
 		if !before.Equal(now) {
 			g.changedAt = p.clock.Now()
 			if before.Settled && !now.Settled {
@@ -849,8 +857,11 @@
 	p.notePosition(s, a.Position, now)
 	if !c.Primary {
 		s.lag.RecordPosition(now, a.Position, a.Code == stmt.Lagging)
-	} else if !c.revoked.Load() {
-		p.group(s.Group).positions.Observe(c.startedAt, a.Position)
+	} else if g := p.group(s.Group); !c.revoked.Load() {
+		g.positions.Observe(c.startedAt, a.Position)
+		if g.base == (fleet.LogPosition{}) && c.startedAt >= g.baseFrom {
+			g.base = a.Position
+		}
 	}
 	p.clearInFlight(c)
 	p.serveWaiters()
@@ -908,6 +919,25 @@
 	return p.group(id).positions.RequiredPosition(p.clock.Now(), age)
 }
 
+// RecordCommit records that a commit at the primary is about to be acknowledged to a caller.
+// Call it before the check whether the connection is still permitted.
+func (p *Pool) RecordCommit(c *Conn, at fleet.LogPosition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.group(c.catalogEntry.Group)
+	g.acknowledged = g.acknowledged.Max(at)
+}
+
+// Acknowledged returns a position that covers every commit which this instance has acknowledged
+// to callers. hasBase is set if it also covers what any process had acknowledged when the last
+// settled record became known here.
+func (p *Pool) Acknowledged(id fleet.GroupID) (at fleet.LogPosition, hasBase bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.group(id)
+	return g.acknowledged.Max(g.base), g.base != (fleet.LogPosition{})
+}
+
 // Term returns the newest term that the group's primary has reported.
 func (p *Pool) Term(id fleet.GroupID) fleet.Term {
 	p.mu.Lock()
