edge/engine: a session keeps the positions of its commits by group

Positions are kept by group, in core/session.Token, which the project's own interface uses. It keeps 16 groups; a group that may have been dropped is read at the primary. Messages between instances are unchanged.

Before: TestCommitsAreKeptByGroup fails.

--- a/core/session/session.go
+++ b/core/session/session.go
@@ -77,6 +77,29 @@
 	return fleet.LogPosition{}, false
 }
 
+// Required returns the log position that a replica must have applied for a session which keeps
+// the positions of its own commits in t to read them; zero if it has none in the group. A floor
+// that may have been dropped is a position of no term: no replica can be known to have it, so
+// that the read runs at the primary.
+func (t *Token) Required(g fleet.GroupID) fleet.LogPosition {
+	f, known := t.Floor(g)
+	if !known && len(t.floors) == MaxFloors {
+		return droppedFloor
+	}
+	return f
+}
+
+// droppedFloor stands for a floor that may have been dropped.
+var droppedFloor = fleet.LogPosition{Position: 1}
+
+// RaiseCommit raises the floor of the group to a position that an operation has returned for the
+// one that Required gave it. Nothing is known if it is the same, or if there is none.
+func (t *Token) RaiseCommit(g fleet.GroupID, f fleet.LogPosition) {
+	if f.Term > 0 && f != t.Required(g) {
+		t.Raise(g, f)
+	}
+}
+
 // Raise sets the floor of the group to the higher of f and its current floor.
 // The floor of a group whose name is longer than MaxNameBytes stays unknown.
 func (t *Token) Raise(g fleet.GroupID, f fleet.LogPosition) {
--- a/edge/engine/engine_test.go
+++ b/edge/engine/engine_test.go
@@ -91,3 +91,36 @@
 	assert.Equal(t, good.replies[0].Code, stmt.OK)
 	assert.Equal(t, e.SessionCount(), 0)
 }
+
+// commitExecutor answers each write with the next position of the log of its group, and records
+// what the operations required.
+type commitExecutor struct {
+	panickingExecutor
+	view     *view.View
+	next     map[fleet.GroupID]fleet.LogPosition
+	required []fleet.LogPosition
+}
+
+func (e *commitExecutor) Run(op *executor.Operation) executor.Outcome {
+	e.required = append(e.required, op.LastCommit)
+	out := executor.Outcome{Answer: stmt.Answer{Signature: "s"}, LastCommit: op.LastCommit}
+	if op.Writes() {
+		out.LastCommit = e.next[op.Route.Group]
+	}
+	// The operator points the route to the other group after each statement.
+	other := map[fleet.GroupID]fleet.GroupID{"a": "b", "b": "a"}[op.Route.Group]
+	e.view.Catalog.Routes["db"] = catalog.Route{Database: "db", Open: true, Group: other}
+	return out
+}
+
+// Guards against a session that loses its own commit when its route moves to another group and
+// back: the position of the commit there replaced the one of the commit here (review/8).
+func TestCommitsAreKeptByGroup(t *testing.T) {
+	v := &view.View{Catalog: &catalog.Catalog{Routes: map[string]catalog.Route{"db": {Database: "db", Open: true, Group: "a"}}}}
+	inA, inB := fleet.LogPosition{Term: 3, Position: 50}, fleet.LogPosition{Term: 1, Position: 7}
+	x := &commitExecutor{view: v, next: map[fleet.GroupID]fleet.LogPosition{"a": inA, "b": inB}}
+	e := &Engine{Clock: clock.New(), View: func() *view.View { return v }, Executor: x, Admission: admitAll{}, Errors: classifier{},
+		Log: telemetry.NewLog(io.Discard, "self"), Metrics: telemetry.NewMetrics()}
+	e.Serve(&scriptedClient{statements: []stmt.Statement{{ID: "q1", Kind: stmt.Write}, {ID: "q2", Kind: stmt.Write}, {ID: "q3", Kind: stmt.Read}, {ID: "q4", Kind: stmt.Read}}})
+	assert.DeepEqual(t, x.required, []fleet.LogPosition{{}, {}, inA, inB})
+}
--- a/edge/engine/session.go
+++ b/edge/engine/session.go
@@ -7,6 +7,7 @@
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
 	"github.com/vanillahinge/vanillahinge/core/ratelimit"
+	positions "github.com/vanillahinge/vanillahinge/core/session"
 	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/edge/executor"
 )
@@ -27,9 +28,10 @@
 	account  fleet.AccountID
 	settings map[string]string
 	prepared map[string]preparedStatement
-	// lastCommit is a log position that covers the session's acknowledged commits.
-	lastCommit fleet.LogPosition
-	tx         *transaction
+	// commits holds, by group, the log positions that cover the session's acknowledged commits.
+	// The route may name another group at any time.
+	commits positions.Token
+	tx      *transaction
 
 	mu sync.Mutex
 	// waiting is set while the session waits for a statement, idle if it waits
@@ -308,7 +310,7 @@
 		p := s.prepared[q.Name]
 		q.PreparedText, q.PreparedWrites = p.text, p.writes
 	}
-	return &executor.Operation{Route: r, Account: account, Homes: s.engine.View().Homes(r, account), Statement: q, Settings: s.settings, LastCommit: s.lastCommit, StartedAt: start}
+	return &executor.Operation{Route: r, Account: account, Homes: s.engine.View().Homes(r, account), Statement: q, Settings: s.settings, LastCommit: s.commits.Required(r.Group), StartedAt: start}
 }
 
 // runSingle runs a statement outside a transaction.
@@ -318,7 +320,7 @@
 		return stmt.Answer{Code: code, Text: text}
 	}
 	out := s.engine.Executor.Run(s.operation(q, r, account, start))
-	s.lastCommit = out.LastCommit
+	s.commits.RaiseCommit(r.Group, out.LastCommit)
 	return out.Answer
 }
 
@@ -335,6 +337,6 @@
 	if !out.Open {
 		tx.running, tx.failed = nil, true
 	}
-	s.lastCommit = out.LastCommit
+	s.commits.RaiseCommit(tx.route.Group, out.LastCommit)
 	return out.Answer
 }
--- a/edge/executor/executor.go
+++ b/edge/executor/executor.go
@@ -32,7 +32,9 @@
 	Settings map[string]string
 	// Homes restricts the regions in which the statement may be handled.
 	Homes topology.Homes
-	// LastCommit is a log position that covers the session's acknowledged commits.
+	// LastCommit is a log position of the route's group that covers the session's acknowledged
+	// commits there, zero if there are none. One of an earlier term than the primary's requires
+	// the primary.
 	LastCommit fleet.LogPosition
 	// StartedAt is when the statement arrived, on the clock of this instance.
 	StartedAt time.Duration
@@ -46,7 +48,7 @@
 // Outcome is the result of an Operation.
 type Outcome struct {
 	Answer stmt.Answer
-	// LastCommit replaces the session's last commit.
+	// LastCommit replaces that of the operation.
 	LastCommit fleet.LogPosition
 	// Open is set while the transaction goes on. Otherwise nothing of it is left at
 	// an endpoint.
