edge/control: lost users are called before some are removed; who is cut off registers later

An instance without contact with the root may be the one that is cut off. It registers without acknowledgement after 6 s, since the record then makes changes of primary slow. The wait for confirmations works on a copy of the change, which calls under way go on reading.

--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -33,7 +33,9 @@
 	// faultTime is followed by a calm in which all must be served again.
 	faultTime = 8 * time.Second
 	calmTime  = 5 * time.Second
-	staleness = 1500 * time.Millisecond
+	// recoveryTime is the users' bound after the loss of instances for good.
+	recoveryTime = 12 * time.Second
+	staleness    = 1500 * time.Millisecond
 	// restTime is below the configured limit of 2 s, after which idle transactions end in
 	// any case.
 	restTime = 1200 * time.Millisecond
@@ -75,6 +77,8 @@
 	caller   string
 	log      *os.File
 	store    *link.Link
+	// successorPort is the first internal port of the instance that replaces this one.
+	successorPort int
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -93,6 +97,8 @@
 	resting, maxConnections int
 	// regions is set if the data centres lie in two regions.
 	regions bool
+	// loss is set if all instances but one are lost for good after the other faults.
+	loss bool
 	// calm is set once the faults have ended.
 	calm atomic.Bool
 	// cold is set if the configuration limits the statements to endpoints that have just
@@ -153,6 +159,7 @@
 		g.SetSyncReplicas(1)
 	}
 	w.regions = seed%4 == 3
+	w.loss = seed%5 == 2
 	if w.cold = seed%2 == 0; w.cold {
 		g.ColdTime, g.ColdBound = coldTime, coldRate*coldOvershoot+coldSlack
 	}
@@ -191,6 +198,10 @@
 	}
 	heal.Wait()
 	w.evacuation()
+	if w.loss {
+		w.loseMostUsers()
+		time.Sleep(recoveryTime)
+	}
 	w.note("calm")
 	time.Sleep(calmTime - time.Second)
 	w.calm.Store(true)
@@ -284,7 +295,7 @@
 	w.t.Cleanup(func() { _ = k.Close() })
 	port := 21000 + (os.Getpid()*31+int(seed)*instances*5+i*5)%9000
 	in := &instance{name: fmt.Sprintf("edge-%d", i), caller: fmt.Sprintf("127.0.0.1:%d", port+3), store: k,
-		settings: filepath.Join(dir, fmt.Sprintf("edge-%d.json", i))}
+		settings: filepath.Join(dir, fmt.Sprintf("edge-%d.json", i)), successorPort: port - 10000}
 	contracts := []string{}
 	if w.resting > 0 {
 		contracts = append(contracts, "pressure")
@@ -333,6 +344,50 @@
 	}
 }
 
+// loseMostUsers cuts the primary off and loses all instances but one for good at the same time,
+// as in a rack that loses power. Others take their places a second later, and the primary is back
+// at some time after that.
+func (w *world) loseMostUsers() {
+	last, dark := w.rnd.IntN(instances), 0
+	for i, e := range w.endpoints {
+		if e.IsPrimary() {
+			dark = i
+		}
+	}
+	w.note("all instances but edge-%d are lost, endpoint %d is cut off", last, dark)
+	w.endpoints[dark].SetIsolated(true)
+	w.links[dark].SetPartitioned(true)
+	for i, in := range w.instances {
+		if i != last {
+			w.end(in, syscall.SIGKILL)
+		}
+	}
+	time.Sleep(time.Second)
+	for i, in := range w.instances {
+		if i != last {
+			w.replace(in)
+			w.start(in)
+		}
+	}
+	time.Sleep(time.Duration(w.rnd.IntN(6000)) * time.Millisecond)
+	w.links[dark].SetPartitioned(false)
+	w.endpoints[dark].SetIsolated(false)
+}
+
+// replace gives the settings of an instance another name and internal address. Callers find its
+// successor where it was.
+func (w *world) replace(in *instance) {
+	raw, err := os.ReadFile(in.settings)
+	assert.NilError(w.t, err)
+	settings := map[string]any{}
+	assert.NilError(w.t, json.Unmarshal(raw, &settings))
+	settings["node_name"] = in.name + "-successor"
+	settings["internal_ports"] = []int{in.successorPort, in.successorPort + 2}
+	raw, err = json.Marshal(settings)
+	assert.NilError(w.t, err)
+	assert.NilError(w.t, os.WriteFile(in.settings, raw, 0o600))
+}
+
 // fault begins a random fault and ends it later.
 func (w *world) fault(heal *sync.WaitGroup) {
 	in, e := w.instances[w.rnd.IntN(instances)], w.rnd.IntN(len(w.endpoints))
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -270,13 +270,15 @@
 func (ch *primaryChange) awaitOldPrimaryUnused(ctx context.Context) (former fleet.EndpointID, result confirmationResult) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	wait := *ch // calls that are under way go on reading the claim after the wait
 	leads := make(chan fleet.EndpointID, 1)
 	go func() {
-		if id := ch.awaitFormerPrimary(ctx); id != "" {
+		if id := wait.awaitFormerPrimary(ctx); id != "" {
 			leads <- id
 		}
 	}()
-	confirmed, former, result := ch.awaitConfirmations(ctx, leads)
+	confirmed, former, result := wait.awaitConfirmations(ctx, leads)
+	ch.acknowledged = wait.acknowledged
 	if result == oldPrimaryUnused {
 		ch.ctl.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group), "users", len(ch.record.Users),
 			"confirmed", len(confirmed), "after_ms", (ch.ctl.Clock.Now() - ch.claimedAt).Milliseconds())
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -134,13 +134,18 @@
 // primaries, and memberGoneAfter before its record is: the root needs a majority of the
 // records. A restart takes less. lostAfter is how long so many users of a primary must be down
 // that the others are no majority before they are removed without one, and lostUnknownAfter the
-// same for an instance whose removal takes the longer wait. needlessAfter is how long the keepers of a group must be the same before other users are removed.
+// same for an instance whose removal takes the longer wait. isolatedAfter is how long they must
+// be lost before an instance without contact with the root registers. needlessAfter is how long the keepers of a group must be the same before other users are removed.
 const (
 	goneAfter        = 5 * time.Second
 	needlessAfter    = 3 * time.Second
 	lostAfter        = time.Second
 	lostUnknownAfter = lostAfter + 1500*time.Millisecond
-	memberGoneAfter  = 10 * time.Second
+	isolatedAfter    = 6 * time.Second
+	// lostProbeTime is the time in which the other users are called before some are removed: a
+	// second removal takes as long again.
+	lostProbeTime   = watchSlack + 2*evaluationInterval
+	memberGoneAfter = 10 * time.Second
 )
 
 // removeGoneUsers removes users of a primary that have been absent for long, so that a
@@ -161,11 +166,17 @@
 		}
 	case g.lostSince == 0:
 		g.lostSince = now // silentUsers has waited for lostAfter
-		fallthrough
-	default:
-		if !c.knownBy(gone, record) && (now < g.lostSince+lostUnknownAfter-lostAfter || !c.removesLostUsers(id, record)) {
-			return
+		// Others may be lost that this instance has not called since.
+		for _, u := range record.Users {
+			if p := c.peers[u]; p != nil && !p.down {
+				go c.probe(ctx, p)
+			}
 		}
+		return
+	case now < g.lostSince+lostProbeTime:
+		return
+	case !c.knownBy(gone, record) && (now < g.lostSince+lostUnknownAfter-lostAfter || !c.removesLostUsers(id, record)):
+		return
 	}
 	for _, u := range record.Users {
 		if since, absent := c.absentSince[u]; absent && now >= since+goneAfter && !slices.Contains(gone, u) {
@@ -460,15 +471,13 @@
 
 // join stores a record in which this instance is a user of the primary. The write is
 // conditional on the version of the record without it, so that a change of primary
-// that is claimed later asks this instance. While most of the users do not answer it is stored
+// that is claimed later asks this instance. While most of the users are lost it is stored
 // without their acknowledgement: the primary is used until they have been removed.
 func (c *Controller) join(ctx context.Context, old catalog.Leadership, g *group) {
 	l := old.WithUser(c.Self.ID)
 	known := c.knowing(ctx, old)
 	ok := len(old.Users) == 0 || known >= lease.Majority(len(old.Users))
-	if !ok && !slices.Contains(old.Removed, c.Self.ID) && c.runInLoop(ctx, func() {
-		ok = len(c.silentUsers(c.Clock.Now(), old)) > 0
-	}) == nil {
+	if !ok && !slices.Contains(old.Removed, c.Self.ID) && c.runInLoop(ctx, func() { ok = c.mostAreLost(c.Clock.Now(), old, g) }) == nil {
 		l.Unacknowledged = true
 	}
 	ok = ok && c.storeRecord(ctx, &l)
@@ -483,6 +492,17 @@
 	}
 }
 
+// mostAreLost reports whether so many users of a primary are lost that the others are no
+// majority. Without contact with the root it may be this instance that is cut off, and each
+// unacknowledged registration makes changes of primary slow; then it waits for longer than most
+// such faults last.
+func (c *Controller) mostAreLost(now time.Duration, record catalog.Leadership, g *group) bool {
+	if len(c.silentUsers(now, record)) == 0 {
+		return false
+	}
+	return c.inContact(now) || record.Unacknowledged || g.lostSince > 0 && now >= g.lostSince+isolatedAfter
+}
+
 // acknowledgeTimeout bounds the calls of knowing.
 const acknowledgeTimeout = 250 * time.Millisecond
 
