--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -22,9 +22,9 @@
 const (
 	// claimTimeout bounds the conditional write of a claim.
 	claimTimeout = 800 * time.Millisecond
-	// lateClaimTimeout bounds the wait for a claim whose response was lost to
+	// lateWriteTimeout bounds the wait for a record whose response was lost to
 	// appear in the table; the store may apply it seconds later.
-	lateClaimTimeout = 3 * time.Second
+	lateWriteTimeout = 3 * time.Second
 	// confirmTimeout bounds one Confirm call; it covers plannedChangeGrace.
 	confirmTimeout = plannedChangeGrace + 200*time.Millisecond
 	// changePollInterval is the polling interval of the steps of a change.
@@ -200,7 +200,7 @@
 // appears in the table, and returns its version; 0 if it does not.
 func (ch *primaryChange) awaitLateWrite(ctx context.Context, l catalog.Leadership) uint64 {
 	c := ch.ctl
-	for deadline := c.Clock.Now() + lateClaimTimeout; c.Clock.Now() < deadline; {
+	for deadline := c.Clock.Now() + lateWriteTimeout; c.Clock.Now() < deadline; {
 		var current catalog.Leadership
 		if c.runInLoop(ctx, func() { current = c.leadership(l.Group) }) != nil {
 			return 0
