--- a/core/catalog/order_test.go
+++ b/core/catalog/order_test.go
@@ -176,7 +176,9 @@
 				}
 				if h := maphash.Comparable(seed, to); !seen[h] {
 					seen[h] = true
-					next = append(next, to)
+					if d+1 < depth {
+						next = append(next, to)
+					}
 				}
 			})
 		}
