--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -135,7 +135,8 @@
 // records. A restart takes less. lostAfter is how long so many users of a primary must be down
 // that the others are no majority before they are removed without one, and lostUnknownAfter the
 // same for an instance whose removal takes the longer wait. isolatedAfter is how long they must
-// be lost before an instance without contact with the root registers. needlessAfter is how long the keepers of a group must be the same before other users are removed.
+// be lost before an instance without contact with the root registers. needlessAfter is how long
+// the keepers of a group must be the same before other users are removed.
 const (
 	goneAfter        = 5 * time.Second
 	needlessAfter    = 3 * time.Second
