--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -11,15 +11,18 @@
 // from a majority of the members: each has responded, with all the records it knows,
 // to a call that started at t or later. Such a majority cannot miss a change: a
 // majority must confirm the change before it takes effect, and the instance that
-// carries it out then waits for Duration. A majority without one of the members counts for
+// carries it out then waits for Duration. A change without a majority waits until every such
+// proof has ended, see takeover.TakesEffectAt: a majority without one of the members counts for
 // at most MaxPartialExtension after the latest proof, and all members together for
-// MaxMajorityExtension: a member may remove others that do not respond without a majority.
+// MaxMajorityExtension.
 //
 // The list of members changes by one addition at a time, and only once a majority of the
-// list before has acknowledged it; a member is removed only after a majority has
-// acknowledged that it is about to be, or once no proof of the list before permits sending. A member that has left the fleet counts as one that
-// has acknowledged: it does not send or respond any more, and its next process has no
-// permission before it knows what was written until then. So a majority of a list that is out of date has a
+// list before has acknowledged it, or the list is marked as unacknowledged: then no majority
+// counts for a change until all members act on it, or those that do not are removed. A member is
+// removed only after a majority has acknowledged that it is about to be, or once no proof of the
+// list before permits sending. A member that has left the fleet counts as one that has
+// acknowledged: it does not send or respond any more, and its next process has no permission
+// before it knows what was written until then. So a majority of a list that is out of date has a
 // member in common with one that knows a later list, and cannot extend a lease any more.
 //
 // Proofs from before the start of the process do not count, and a member counts
