--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,6 +24,7 @@
 	"forgotten-replica": forgottenReplica,
 	"fuzz":              fuzz,
 	"release":           release,
+	"recover":           recover_,
 }
 
 // writers starts sessions that write all the time, and returns a function that ends them. What
@@ -164,3 +165,70 @@
 	}
 	w.verdict()
 }
+
+// recover_: two backends of the service crash for some seconds, and all processes are killed
+// right after a configuration.
+func recover_(trouble bool) {
+	w := newWorld(1, 4, 1)
+	for _, n := range w.nodes {
+		n.run()
+	}
+	if !w.awaitReady(15 * time.Second) {
+		w.fail("the instances do not become ready")
+	}
+	stop := w.traffic()
+	time.Sleep(8 * time.Second)
+	fault := time.Now()
+	w.putConfig(8)
+	if trouble {
+		g := w.group
+		g.crash(g.servers[0], 4*time.Second)
+		g.crash(g.servers[2], 4*time.Second)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		time.Sleep(time.Second)
+		for _, n := range w.nodes {
+			n.run()
+		}
+	}
+	back := time.Now()
+	w.note("the machines are back")
+	time.Sleep(32 * time.Second)
+	stop()
+	time.Sleep(2500 * time.Millisecond)
+	before := w.served(time.Time{}, fault)
+	after := w.served(back.Add(recovery), time.Now())
+	w.note("served before the final fault: %v, from %v after the machines are back: %v", before, recovery, after)
+	fmt.Printf("served before the final fault: %v, from %v after the machines are back: %v\n", before, recovery, after)
+	if before.share() >= 0.25 && after.share() < 0.25 {
+		w.group.mu.Lock()
+		w.group.break_("RECOVER: %v of the requests are served", after)
+		w.group.mu.Unlock()
+	}
+	w.verdict()
+}
+
+// recovery is the bound recovery_s of the settings.
+const recovery = 12 * time.Second
+
+// count is how many of the requests are served.
+type count struct{ served, sent int }
+
+func (c count) share() float64 { return float64(c.served) / float64(max(1, c.sent)) }
+
+// served counts the requests that clients sent in a time.
+func (w *world) served(from, to time.Time) count {
+	w.idMu.Lock()
+	defer w.idMu.Unlock()
+	var c count
+	for _, a := range w.answers {
+		if a.sentAt.After(from) && a.sentAt.Before(to) {
+			c.sent++
+			if a.code == "" {
+				c.served++
+			}
+		}
+	}
+	return c
+}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -34,8 +34,10 @@
 	cloudAddr string
 	nodes     []*node
 
-	idMu   sync.Mutex
-	nextID int
+	idMu    sync.Mutex
+	nextID  int
+	answers []answer
+	config  map[string]any
 }
 
 // tenants have a key each.
@@ -89,9 +91,10 @@
 	for i, g := range w.groups {
 		routes = append(routes, route(latest(i), g.name, "primary", 0))
 	}
-	w.store.put("op", "config", map[string]any{"version": 7,
+	w.config = map[string]any{
 		"routes": routes, "services": services,
-		"limits": map[string]any{"tx_idle_ms": 3000}, "tenants": keys})
+		"limits": map[string]any{"tx_idle_ms": 3000}, "tenants": keys}
+	w.putConfig(7)
 	for i := range nodes {
 		n := &node{w: w, name: fmt.Sprintf("edge-%d", i+1), ip: w.ip(i + 1), zone: zones[i%3]}
 		n.storeAddr = w.listen(201, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -121,6 +124,13 @@
 	return w.nodes[0]
 }
 
+// putConfig acknowledges a version of the configuration.
+func (w *world) putConfig(version int) {
+	w.config["version"] = version
+	w.store.put("op", "config", w.config)
+	w.note("configuration %d is acknowledged", version)
+}
+
 // ip returns a loopback address of the run.
 func (w *world) ip(host int) string { return fmt.Sprintf("127.90.%d.%d", w.net, host) }
 
@@ -393,6 +403,9 @@
 	c.w.note("%s sends %s %s", c.name, id, text)
 	defer func() {
 		a.endedAt = time.Now()
+		c.w.idMu.Lock()
+		c.w.answers = append(c.w.answers, a)
+		c.w.idMu.Unlock()
 		c.w.note("%s gets %s code=%q text=%q signature=%q rows=%v state=%s", c.name, id, a.code, a.text, a.signature, a.rows, a.state)
 	}()
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
