--- a/review/standin-3/fuzz.go
+++ b/review/standin-3/fuzz.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -78,7 +79,15 @@
 	return func() { close(done) }
 }
 
-// fuzz plays a random mix of disruptions.
+// The disruptions of fuzz, by how often they are drawn: of all kinds, of those around a change of
+// primary in a service with synchronous replicas (FOCUS), and many at once (STORM).
+var (
+	mixed   = strings.Fields("deaf deaf crash crash-primary crash-primary mute kill freeze freeze store-down store-lost cloud-down lose-answers release")
+	focused = strings.Fields("deaf deaf crash crash crash-primary crash-primary mute kill-writer kill-writer freeze-writer freeze-writer cloud-down lose-answers release release both-deaf deaf-crash store-lost kill")
+	storm   = strings.Fields("crash-primary mute freeze freeze freeze freeze freeze freeze store-cut store-cut store-cut store-cut lose-answers store-lost release cloud-down kill freeze-writer kill-writer")
+)
+
+// fuzz plays a random mix of disruptions, drawn by SEED.
 func fuzz(bool) {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	r := rand.New(rand.NewPCG(seed, 1))
@@ -120,23 +129,42 @@
 		d := func(do func()) { events = append(events, event{at, do}) }
 		a, b, c, e := ms(300, 6500), ms(300, 7800), ms(500, 4000), ms(500, 4500)
 		i := r.IntN(len(w.nodes))
-		kind := r.IntN(14)
+		kinds := mixed
 		if os.Getenv("FOCUS") != "" {
-			kind = []int{0, 1, 2, 2, 3, 3, 5, 20, 20, 21, 21, 11, 12, 13, 10}[r.IntN(15)]
+			kinds = focused
 		}
 		if os.Getenv("STORM") != "" {
-			kind = []int{3, 5, 7, 7, 7, 7, 8, 8, 22, 22, 22, 22, 12, 10, 13, 11, 6, 21, 20}[r.IntN(19)]
-			at = ms(4000, 24000)
+			kinds, at = storm, ms(4000, 24000)
 		}
+		kind := kinds[r.IntN(len(kinds))]
 		switch kind {
-		case 22:
+		case "both-deaf": // both replicas receive nothing
+			d(func() {
+				for _, s := range append([]*server{}, g.servers...) {
+					if !s.primary {
+						g.setDeaf(s, true)
+						time.AfterFunc(a, func() { g.setDeaf(s, false) })
+					}
+				}
+			})
+		case "deaf-crash": // a deaf replica and the primary crashes
+			d(func() {
+				s := pick()
+				g.setDeaf(s, true)
+				time.AfterFunc(a, func() { g.setDeaf(s, false) })
+				if p := primary(); p != nil {
+					time.Sleep(e / 4)
+					g.crash(p, b)
+				}
+			})
+		case "store-cut":
 			d(func() {
 				n := w.nodes[i]
 				n.cut.Store(true)
 				w.note("instance %s is cut off from the store for %v", n.name, b)
 				time.AfterFunc(b, func() { n.cut.Store(false) })
 			})
-		case 20:
+		case "kill-writer":
 			d(func() {
 				for i, n := range w.nodes {
 					if n == w.lastWriter() && time.Now().After(busy[i]) {
@@ -146,7 +174,7 @@
 					}
 				}
 			})
-		case 21:
+		case "freeze-writer":
 			d(func() {
 				for i, n := range w.nodes {
 					if n == w.lastWriter() && time.Now().After(busy[i]) {
@@ -156,32 +184,32 @@
 					}
 				}
 			})
-		case 0, 1:
+		case "deaf":
 			d(func() {
 				s := pick()
 				g.setDeaf(s, true)
 				time.AfterFunc(a, func() { g.setDeaf(s, false) })
 			})
-		case 2:
+		case "crash":
 			d(func() {
 				if s := pick(); s.up {
 					g.crash(s, b)
 				}
 			})
-		case 3, 4:
+		case "crash-primary":
 			d(func() {
 				if s := primary(); s != nil {
 					g.crash(s, b)
 				}
 			})
-		case 5:
+		case "mute":
 			d(func() {
 				if s := primary(); s != nil {
 					g.setMute(s, true)
 					time.AfterFunc(b, func() { g.setMute(s, false) })
 				}
 			})
-		case 6:
+		case "kill":
 			d(func() {
 				if time.Now().After(busy[i]) {
 					busy[i] = time.Now().Add(c + time.Second)
@@ -189,7 +217,7 @@
 					time.AfterFunc(c, w.nodes[i].run)
 				}
 			})
-		case 7, 8:
+		case "freeze":
 			d(func() {
 				if time.Now().After(busy[i]) {
 					busy[i] = time.Now().Add(c + time.Second)
@@ -197,31 +225,31 @@
 					time.AfterFunc(c, func() { w.nodes[i].signal(syscall.SIGCONT) })
 				}
 			})
-		case 9:
+		case "store-down":
 			status := []int{503, -1, 429}[r.IntN(3)]
 			d(func() {
 				w.store.set(status, 0, false)
 				time.AfterFunc(e, func() { w.store.set(0, 0, false) })
 			})
-		case 10:
+		case "store-lost":
 			late := r.IntN(2) == 0
 			d(func() {
 				w.store.set(0, .35, late)
 				time.AfterFunc(e, func() { w.store.set(0, 0, false) })
 			})
-		case 11:
+		case "cloud-down":
 			d(func() {
 				g.cloudDown.Store(true)
 				time.AfterFunc(e/2, func() { g.cloudDown.Store(false) })
 			})
-		case 12:
+		case "lose-answers":
 			d(func() {
 				if s := primary(); s != nil {
 					g.setLose(s, .2)
 					time.AfterFunc(a, func() { g.setLose(s, 0) })
 				}
 			})
-		case 13:
+		case "release":
 			if !released {
 				released = true
 				at = ms(4000, 9000)
