--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 	"fuzz":              fuzz,
 	"release":           release,
 	"recover":           recover_,
+	"partial-store":     partialStore,
 }
 
 // writers starts sessions that write all the time, and returns a function that ends them. What
@@ -150,6 +151,12 @@
 	time.Sleep(16 * time.Second)
 	stop()
 	time.Sleep(1500 * time.Millisecond)
+	w.checkEnds()
+	w.verdict()
+}
+
+// checkEnds checks how often processes have ended by themselves.
+func (w *world) checkEnds() {
 	machines := 0
 	for _, n := range w.nodes {
 		w.note("the process of %s has ended by itself %d times", n.name, n.ends.Load())
@@ -163,9 +170,56 @@
 		w.group.break_("Fault: processes of %d of %d machines have ended by themselves three times or more", machines, len(w.nodes))
 		w.group.mu.Unlock()
 	}
+}
+
+// partialStore: all processes are killed while the primaries of the services are replaced as
+// planned, and the store does not serve the table of the servers for some seconds.
+func partialStore(trouble bool) {
+	w := newWorld(0, 4, 3)
+	for _, n := range w.nodes {
+		n.run()
+	}
+	if !w.awaitReady(15 * time.Second) {
+		w.fail("the instances do not become ready")
+	}
+	stop := w.writers(40 * time.Millisecond)
+	time.Sleep(4 * time.Second)
+	for _, g := range w.groups {
+		g.release(g.servers[0])
+		time.Sleep(117 * time.Millisecond) // so that not all are claimed by one instance
+	}
+	if trouble {
+		time.Sleep(200 * time.Millisecond)
+		w.store.part("servers")
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range w.nodes {
+			n.run()
+		}
+		time.Sleep(time.Second)
+		// Ends within a second of the kill do not count.
+		for _, n := range w.nodes {
+			w.note("the process of %s had ended by itself %d times", n.name, n.ends.Swap(0))
+		}
+		time.Sleep(3 * time.Second)
+		w.store.part("")
+	}
+	time.Sleep(12 * time.Second)
+	stop()
+	time.Sleep(1500 * time.Millisecond)
+	w.checkEnds()
 	w.verdict()
 }
 
+// part sets the table that the store does not serve, "" for none.
+func (s *store) part(table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuseTable = table
+}
+
 // recover_: two backends of the service crash for some seconds, and all processes are killed
 // right after a configuration.
 func recover_(trouble bool) {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -33,6 +33,8 @@
 	refuse int
 	lose   float64
 	late   bool
+	// refuseTable is a table whose rows are refused with 503.
+	refuseTable string
 	// lastWriter is the instance that last wrote under a condition.
 	lastWriter string
 }
@@ -109,6 +111,13 @@
 		return
 	}
 	q := r.URL.Query()
+	s.mu.Lock()
+	part := s.refuseTable != "" && q.Get("table") == s.refuseTable
+	s.mu.Unlock()
+	if part {
+		reply(w, 503, map[string]any{"error": "this part is unavailable"})
+		return
+	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /vanillahinge/rows-tx":
 		s.transact(w, r)
