edge/control: a fault in the change of one group ends that change alone

The goroutines that work for one group report a panic with its stack and count it (panics), and the change is left to the others: this process does not begin one in the group until they had the time to (takeover.Observation.Failed). After a restart an instance takes its own change over at once, once: the claim says so (catalog.Leadership.Resumed), and a further restart leaves it to the others.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -182,6 +182,9 @@
 	// store may apply an earlier claim of the same instance late.
 	Holder fleet.InstanceID
 	Claim  uint64 `json:",omitempty"`
+	// Resumed is set in a claim by which an instance took over the change of an earlier process
+	// of its own; see takeover.HolderStopped.
+	Resumed bool `json:",omitempty"`
 	// Settled is false while a change of primary is in progress. Until it is true
 	// no statement may be sent to any primary of the group.
 	Settled bool
@@ -253,7 +256,7 @@
 // Equal reports whether two records are the same.
 func (l Leadership) Equal(o Leadership) bool {
 	return slices.Equal(l.Users, o.Users) && slices.Equal(l.Removed, o.Removed) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary && l.PrimaryTerm == o.PrimaryTerm &&
-		l.Former == o.Former && l.Revision == o.Revision && l.Era == o.Era && l.RenewedEra == o.RenewedEra && l.Holder == o.Holder && l.Claim == o.Claim && l.Settled == o.Settled && l.Planned == o.Planned &&
+		l.Former == o.Former && l.Revision == o.Revision && l.Era == o.Era && l.RenewedEra == o.RenewedEra && l.Holder == o.Holder && l.Claim == o.Claim && l.Resumed == o.Resumed && l.Settled == o.Settled && l.Planned == o.Planned &&
 		l.Confirming == o.Confirming && l.ConfirmingSince == o.ConfirmingSince && l.MayHavePromoted == o.MayHavePromoted && l.Unacknowledged == o.Unacknowledged
 }
 
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -20,11 +20,36 @@
 // confirming record ends the right of every earlier holder to promote, and as long as all
 // records of a change are confirming, the former primary is still the only one.
 
+// Claimant is a process that claims changes of primary.
+type Claimant struct {
+	Instance fleet.InstanceID
+	// LastClaim is the catalog.Leadership.Claim of its last claim in the group, 0 if it has made
+	// none.
+	LastClaim uint64
+}
+
+// made reports whether the process itself has made the claim of a record.
+func (c Claimant) made(l catalog.Leadership) bool {
+	return l.Holder == c.Instance && l.Claim == c.LastClaim && l.Claim != 0
+}
+
+// OwnChange tells how an unsettled change stands that this instance has claimed. It is stopped if
+// the claim is this process's own, or that of an earlier process. After a restart the instance
+// may take its change over at once, but only once: it has failed if that claim ends with the
+// process as well, which the change may bring down.
+func OwnChange(l catalog.Leadership, self Claimant) (stopped, failed bool) {
+	own := l.Holder == self.Instance && !l.Settled
+	stopped = own && (self.made(l) || !l.Resumed)
+	return stopped, own && !stopped
+}
+
 // Claim returns the record of a holder that begins a change of primary, or takes one over, on
-// top of the newest record.
-func Claim(old catalog.Leadership, era uint64) catalog.Leadership {
+// top of the newest record. claim identifies it.
+func Claim(old catalog.Leadership, era uint64, holder Claimant, claim uint64) catalog.Leadership {
 	l := old.Next(era)
 	l.Settled, l.Primary, l.Confirming = false, "", true
+	l.Holder, l.Claim = holder.Instance, claim
+	l.Resumed = !old.Settled && old.Holder == holder.Instance && (old.Resumed || !holder.made(old))
 	switch {
 	case old.Settled:
 		l.Former, l.MayHavePromoted, l.ConfirmingSince = old.Primary, false, l.Order()
--- a/core/takeover/search_test.go
+++ b/core/takeover/search_test.go
@@ -545,7 +545,7 @@
 		}
 	}
 	emit("claims", i, 0, func(x *searchState) {
-		claim := Claim(nd.known.record(), 0)
+		claim := Claim(nd.known.record(), 0, Claimant{}, 0)
 		r := searchRecord{version: nd.known.version + 1, order: s.next(nd.known), confirming: s.marks, mayHavePromoted: claim.MayHavePromoted, primary: none, former: nd.known.primary, holder: int8(i), users: nd.known.users}
 		if !nd.known.settled {
 			r.former = nd.known.former
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -294,9 +294,13 @@
 	Record catalog.Leadership
 	// RecordLearnedAt is when this instance learned the record.
 	RecordLearnedAt time.Duration
-	// HolderStopped reports that the process which claimed an unsettled change no longer
-	// runs: it was an earlier process of this instance, or it has left the fleet.
+	// HolderStopped reports that the process which claimed an unsettled change no longer carries
+	// it out: OwnChange tells, or it has left the fleet.
 	HolderStopped bool
+	// Failed reports that a change which this instance carried out ended by a fault of the
+	// program, at FailedAt or later.
+	Failed   bool
+	FailedAt time.Duration
 	// Listed reports whether the primary is in the platform's list, and MissingSince
 	// when it disappeared from it.
 	Listed       bool
@@ -328,6 +332,9 @@
 	// claimStagger separates the claims of instances that notice the same failure. A
 	// claim reaches the other instances within a few milliseconds.
 	claimStagger = 60 * time.Millisecond
+	// failedPause is how long a process that failed in a change leaves it to the others, beyond
+	// the time after which they may take it over.
+	failedPause = AbandonedAfter + time.Second
 )
 
 // ReplacementCause returns why the primary should be replaced now, or None. For
@@ -335,6 +342,7 @@
 func ReplacementCause(o Observation) Cause {
 	delay := time.Duration(o.Rank) * claimStagger
 	switch {
+	case o.Failed && o.Now < o.FailedAt+failedPause:
 	case !o.Record.Settled:
 		wait := AbandonedAfter
 		if o.HolderStopped {
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -187,3 +187,55 @@
 		}
 	}
 }
+
+// Guards against a change of primary that nobody else gets to carry out: the process that holds it
+// is brought down by it, is started again, and takes its claim over at once (review/12, 13, 14).
+func TestChangeIsNotKeptByHolderThatCrashes(t *testing.T) {
+	const step, restart = 10 * time.Millisecond, 500 * time.Millisecond
+	// takenOver returns when another instance than the first one claims the change, 0 if none does
+	// in a minute. The first one ends some time after each of its claims, or only fails in them.
+	takenOver := func(after time.Duration, restarts bool, own func(catalog.Leadership, Claimant) (stopped, failed bool), failedCounts bool) time.Duration {
+		record := Claim(catalog.Leadership{Group: "bookings", Primary: "e1", Settled: true}, 0, Claimant{Instance: "a"}, 1)
+		self := Claimant{Instance: "a", LastClaim: 1}
+		learned, failsAt, back := time.Duration(0), after, time.Duration(-1)
+		failed, failedAt := false, time.Duration(0)
+		for now := step; now < time.Minute; now += step {
+			switch {
+			case failsAt > 0 && now >= failsAt:
+				failsAt = 0
+				if restarts {
+					self.LastClaim, back = 0, now+restart
+				} else {
+					failed, failedAt, back = failedCounts, now, now
+				}
+			case back >= 0 && now >= back:
+				o := Observation{Now: now, Record: record, RecordLearnedAt: learned, Failed: failed, FailedAt: failedAt}
+				stopped, failedBefore := own(record, self)
+				if o.HolderStopped = stopped; failedBefore {
+					o.Failed, o.FailedAt = true, learned
+				}
+				if ReplacementCause(o) != Unsettled {
+					break
+				}
+				claim := uint64(now)
+				record, self.LastClaim = Claim(record, 0, self, claim), claim
+				learned, failsAt, back = now, now+after, -1
+			}
+			if ReplacementCause(Observation{Now: now, Record: record, RecordLearnedAt: learned, Rank: 1}) == Unsettled {
+				return now
+			}
+		}
+		return 0
+	}
+	alwaysStopped := func(catalog.Leadership, Claimant) (stopped, failed bool) { return true, false }
+	for after := step; after < 2*time.Second; after += 7 * step {
+		// Once more at once after a restart, and then as late as anybody.
+		bound := after + restart + AbandonedAfter + 2*claimStagger
+		for _, restarts := range []bool{false, true} {
+			at := takenOver(after, restarts, OwnChange, true)
+			assert.Assert(t, at > 0 && at <= bound, "ends %v after a claim, is started again %v: taken over at %v", after, restarts, at)
+		}
+		assert.Equal(t, takenOver(after, true, alwaysStopped, true), time.Duration(0), "mutation not detected: own claim taken over at once")
+		assert.Equal(t, takenOver(after, false, OwnChange, false), time.Duration(0), "mutation not detected: failure not counted")
+	}
+}
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -42,12 +42,6 @@
 func (c *Controller) replacePrimary(ctx context.Context, old catalog.Leadership, cause takeover.Cause, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, 2*takeover.HolderTimeout+settleTimeout)
 	defer cancel()
-	defer func() {
-		// Clear the flag even when ctx has ended, so that a later change can start.
-		if c.runInLoop(c.ctx, func() { c.groupState(old.Group).changing = false }) != nil {
-			return // the controller has stopped
-		}
-	}()
 	switch cause {
 	case takeover.Unreachable:
 		if !c.peersConfirmUnreachable(ctx, old, addr) {
@@ -74,6 +68,22 @@
 	}
 }
 
+// endChange records that a change carried out here has ended, and whether it did so by a panic:
+// then it is left to the others. A later change can start.
+func (c *Controller) endChange(id fleet.GroupID, returned bool) {
+	if c.runInLoop(c.ctx, func() {
+		g := c.groupState(id)
+		g.changing, g.changeFailed, g.changeFailedAt = false, !returned, c.Clock.Now()
+	}) != nil {
+		return // the controller has stopped
+	}
+}
+
+// claimant returns this process as a claimant of changes in a group.
+func (c *Controller) claimant(g *group) takeover.Claimant {
+	return takeover.Claimant{Instance: c.Self.ID, LastClaim: g.lastClaim}
+}
+
 // peersConfirmUnreachable asks some other instances whether they reach the
 // primary and reports whether enough of them do not.
 func (c *Controller) peersConfirmUnreachable(ctx context.Context, old catalog.Leadership, addr string) bool {
@@ -162,9 +172,17 @@
 // change. The write is conditional on the version of the old record.
 func (ch *primaryChange) claim(ctx context.Context) bool {
 	c, old := ch.ctl, ch.old
-	l := takeover.Claim(old, c.era.Load())
+	var holder takeover.Claimant
+	claim := rand.Uint64()
+	if c.runInLoop(ctx, func() {
+		g := c.groupState(old.Group)
+		holder, g.lastClaim = c.claimant(g), claim
+	}) != nil {
+		return false
+	}
+	l := takeover.Claim(old, c.era.Load(), holder, claim)
 	l.Term = max(old.Term, old.PrimaryTerm, c.Pool.Term(old.Group)) + 1
-	l.Holder, l.Claim, l.Planned = c.Self.ID, rand.Uint64(), isPlanned(ch.cause)
+	l.Planned = isPlanned(ch.cause)
 	if !old.Settled {
 		group, known := c.changedGroup(ctx, old.Group)
 		if !known {
@@ -285,11 +303,11 @@
 	defer cancel()
 	wait := *ch // calls that are under way go on reading the claim after the wait
 	leads := make(chan fleet.EndpointID, 1)
-	go func() {
+	ch.ctl.spawn(func() {
 		if id := wait.awaitFormerPrimary(ctx); id != "" {
 			leads <- id
 		}
-	}()
+	})
 	confirmed, former, result := wait.awaitConfirmations(ctx, leads)
 	ch.acknowledged = wait.acknowledged
 	if result == oldPrimaryUnused {
@@ -411,12 +429,13 @@
 	acknowledgedCommits := make([]*takeover.AcknowledgedCommits, len(ids))
 	for i, id := range ids {
 		state[i].Member = id
-		go ch.requestConfirmation(ctx, id, func(at time.Duration, known *takeover.AcknowledgedCommits) {
+		confirmed := func(at time.Duration, known *takeover.AcknowledgedCommits) {
 			mu.Lock()
 			defer mu.Unlock()
 			state[i].Confirmed, state[i].At = true, at
 			acknowledgedCommits[i] = known
-		})
+		}
+		c.spawn(func() { ch.requestConfirmation(ctx, id, confirmed) })
 	}
 	for {
 		var acknowledged map[fleet.InstanceID]bool
@@ -695,14 +714,14 @@
 	if former.ID == "" {
 		return
 	}
-	go func() {
+	ch.ctl.spawn(func() {
 		s, err := ch.ctl.runEndpointCommand(former, stmt.Statement{Kind: stmt.Demote, Term: ch.record.Term})
 		if err != nil {
 			ch.ctl.Log.Info("control: old primary not demoted", "endpoint", string(former.ID), "error", err.Error())
 			return
 		}
 		ch.ctl.Log.Info("control: old primary demoted", "endpoint", string(former.ID), "position", uint64(s.Received.Position))
-	}()
+	})
 }
 
 // formerPosition returns the log position of the old primary in a planned change, zero if it
@@ -774,13 +793,13 @@
 		return
 	}
 	for _, p := range c.peerList(ctx, ch.record.Users) {
-		go func() {
+		c.spawn(func() {
 			call, cancel := context.WithTimeout(ctx, confirmTimeout)
 			defer cancel()
 			if _, err := p.client.Confirm(call, &peerrpc.ConfirmRequest{Record: ch.record}); err != nil {
 				c.Metrics.Count("exchange_failures")
 			}
-		}()
+		})
 	}
 	row, err := ch.encodeRow(ch.record)
 	if err != nil {
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -197,6 +197,11 @@
 	// changeStartedAt is when this instance last began a change. A change for an
 	// unreachable primary begins by asking the other instances about it.
 	changeStartedAt time.Duration
+	// lastClaim identifies the last claim of this process, 0 if it has made none.
+	lastClaim uint64
+	// changeFailed is set once a change carried out here has ended by a panic, at changeFailedAt.
+	changeFailed   bool
+	changeFailedAt time.Duration
 	// plannedChangeAt is when a planned change that was put off is considered again.
 	plannedChangeAt time.Duration
 	// confirmingSince is the catalog.Leadership.ConfirmingSince of the newest confirming
@@ -357,8 +362,8 @@
 }
 
 // guard runs a function of the control goroutine. A panic, for example over a message
-// that nobody has thought of, ends that function alone.
-func (c *Controller) guard(f func()) {
+// that nobody has thought of, ends that function alone. It reports whether f has returned.
+func (c *Controller) guard(f func()) (returned bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			c.Metrics.Count("panics")
@@ -366,8 +371,13 @@
 		}
 	}()
 	f()
+	return true
 }
 
+// spawn runs a function that works for one group in a goroutine of its own, as guard does: a
+// fault there must not end an instance that serves other groups.
+func (c *Controller) spawn(f func()) { go c.guard(f) }
+
 const (
 	leaderPrefix = "leader/"
 	memberPrefix = "member/"
@@ -622,7 +632,8 @@
 			continue // a claim would only be a write to the store
 		}
 		g.changing, g.changeStartedAt = true, now
-		go c.replacePrimary(ctx, c.leadership(id), cause, addr)
+		old := c.leadership(id)
+		go func() { c.endChange(id, c.guard(func() { c.replacePrimary(ctx, old, cause, addr) })) }()
 	}
 }
 
@@ -639,8 +650,11 @@
 		Now: now, Record: record, RecordLearnedAt: c.groupState(id).learnedAt, Listed: listed, Leaving: e.Leaving,
 		Rank: c.keeperRank(id),
 	}
-	if record.Holder == c.Self.ID || c.hasLeft(record.Holder, record.Version) {
-		s.HolderStopped = true
+	g := c.groupState(id)
+	stopped, failed := takeover.OwnChange(record, c.claimant(g))
+	s.HolderStopped = stopped || c.hasLeft(record.Holder, record.Version)
+	if s.Failed, s.FailedAt = g.changeFailed, g.changeFailedAt; failed {
+		s.Failed, s.FailedAt = true, g.learnedAt
 	}
 	if !listed {
 		s.MissingSince = c.groupState(id).learnedAt
--- a/edge/control/positions.go
+++ b/edge/control/positions.go
@@ -214,7 +214,7 @@
 	r := &replicaReports{ctl: c, stop: cancel, found: make([]replicaReport, len(replicas))}
 	for i, e := range replicas {
 		r.found[i].endpoint = e
-		go func() {
+		c.spawn(func() {
 			for query.Err() == nil {
 				s, err := c.runEndpointCommand(e, ask)
 				if err == nil {
@@ -229,7 +229,7 @@
 					return
 				}
 			}
-		}()
+		})
 	}
 	return r
 }
@@ -274,7 +274,7 @@
 		if e.ID == settled.Primary {
 			continue
 		}
-		go func() {
+		c.spawn(func() {
 			for deadline := c.Clock.Now() + settleTimeout; c.Clock.Now() < deadline; {
 				var current catalog.Leadership
 				if c.runInLoop(c.ctx, func() { current = c.leadership(settled.Group) }) != nil ||
@@ -291,6 +291,6 @@
 				}
 			}
 			c.Log.Info("control: replica not resumed; it does not answer", "endpoint", string(e.ID))
-		}()
+		})
 	}
 }
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -127,7 +127,18 @@
 		return
 	}
 	g.joining = true
-	go c.join(ctx, record, g)
+	go func() {
+		ok := false
+		c.guard(func() { ok = c.join(ctx, record, g) })
+		if c.runInLoop(ctx, func() {
+			g.joining = false
+			if !ok {
+				g.nextJoin = c.Clock.Now() + minJoinPause + jitter(maxJoinPause-minJoinPause)
+			}
+		}) != nil {
+			return // the controller has stopped
+		}
+	}()
 }
 
 // goneAfter is how long a member must be absent before it is removed as a user of
@@ -209,7 +220,7 @@
 	g.removing = true
 	g.removedHere = gone
 	go func() {
-		c.removeUsers(ctx, record, gone)
+		c.guard(func() { c.removeUsers(ctx, record, gone) })
 		if c.runInLoop(ctx, func() { g.removing = false }) != nil {
 			return // the controller has stopped
 		}
@@ -473,8 +484,9 @@
 // join stores a record in which this instance is a user of the primary. The write is
 // conditional on the version of the record without it, so that a change of primary
 // that is claimed later asks this instance. While most of the users are lost it is stored
-// without their acknowledgement: the primary is used until they have been removed.
-func (c *Controller) join(ctx context.Context, old catalog.Leadership, g *group) {
+// without their acknowledgement: the primary is used until they have been removed. It reports
+// whether the record is stored.
+func (c *Controller) join(ctx context.Context, old catalog.Leadership, g *group) bool {
 	l := old.WithUser(c.Self.ID)
 	known := c.knowing(ctx, old)
 	ok := len(old.Users) == 0 || known >= lease.Majority(len(old.Users))
@@ -483,14 +495,7 @@
 	}
 	ok = ok && c.storeRecord(ctx, &l)
 	c.Metrics.Count("user_registrations")
-	if c.runInLoop(ctx, func() {
-		g.joining = false
-		if !ok {
-			g.nextJoin = c.Clock.Now() + minJoinPause + jitter(maxJoinPause-minJoinPause)
-		}
-	}) != nil {
-		return // the controller has stopped
-	}
+	return ok
 }
 
 // mostAreLost reports whether so many users of a primary are lost that the others are no
@@ -573,11 +578,13 @@
 	}
 	g.joining, g.nextJoin = true, now+acknowledgeInterval
 	go func() {
-		if c.knowing(ctx, record) == len(record.Users) {
-			l := record
-			l.Unacknowledged = false
-			c.storeRecord(ctx, &l)
-		}
+		c.guard(func() {
+			if c.knowing(ctx, record) == len(record.Users) {
+				l := record
+				l.Unacknowledged = false
+				c.storeRecord(ctx, &l)
+			}
+		})
 		if c.runInLoop(ctx, func() { g.joining = false }) != nil {
 			return // the controller has stopped
 		}
