core/takeover: the record names the replicas that may hold acknowledged commits

Which endpoints may hold acknowledged commits was known only from the memory of a process, and an endpoint that it had not seen was none. The leadership record now names them. The first record of a group names the listed ones, its first keeper adds what is listed, and one is dropped, or a raised sync_replicas counted on, only once the primary's position is known to be in enough of the other logs (takeover.PlanReplicas, ProvesReplicas). Without that list a log counts only if the old primary or the users show that it has everything. Users also tell a position that no log with their commits ends before, which counts though others do not tell theirs.

TestEndpointsThatLeftTheListAreMissing asserted that an endpoint is forgotten after ten minutes, a time that nobody can prove; it now asserts that it is not, in a process that saw it leave and in one that did not.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -206,6 +206,38 @@
 	// Unacknowledged is set while the Users include some that registered although most of the
 	// others did not answer. A majority of them may not know each other then.
 	Unacknowledged bool `json:",omitempty"`
+	// Replicas are the endpoints that may hold acknowledged commits, nil if they are not known
+	// or the group has no synchronous replicas.
+	Replicas *ReplicaSet `json:",omitempty"`
+}
+
+// ReplicaSet names the endpoints of a group with synchronous replicas that count for the commits
+// acknowledged so far. Each of these commits is in the logs of at least Copies members, beside
+// that of the endpoint that was primary when it was acknowledged.
+type ReplicaSet struct {
+	Copies int
+	// Members are in ascending order of their ids. The primary is one of them.
+	Members []ReplicaMember
+}
+
+// ReplicaMember is an endpoint of a ReplicaSet, as it was last listed.
+type ReplicaMember struct {
+	ID         fleet.EndpointID
+	Addr       string
+	DataCentre fleet.DataCentre `json:",omitempty"`
+}
+
+// Equal reports whether two sets are the same. nil is no empty set.
+func (s *ReplicaSet) Equal(o *ReplicaSet) bool {
+	if s == nil || o == nil {
+		return s == o
+	}
+	return s.Copies == o.Copies && slices.Equal(s.Members, o.Members)
+}
+
+// Has reports whether an endpoint is a member.
+func (s *ReplicaSet) Has(id fleet.EndpointID) bool {
+	return s != nil && slices.ContainsFunc(s.Members, func(m ReplicaMember) bool { return m.ID == id })
 }
 
 // MayUse reports whether an instance may send statements to the primary.
@@ -257,7 +289,7 @@
 func (l Leadership) Equal(o Leadership) bool {
 	return slices.Equal(l.Users, o.Users) && slices.Equal(l.Removed, o.Removed) && l.Group == o.Group && l.Version == o.Version && l.Term == o.Term && l.Primary == o.Primary && l.PrimaryTerm == o.PrimaryTerm &&
 		l.Former == o.Former && l.Revision == o.Revision && l.Era == o.Era && l.RenewedEra == o.RenewedEra && l.Holder == o.Holder && l.Claim == o.Claim && l.Resumed == o.Resumed && l.Settled == o.Settled && l.Planned == o.Planned &&
-		l.Confirming == o.Confirming && l.ConfirmingSince == o.ConfirmingSince && l.MayHavePromoted == o.MayHavePromoted && l.Unacknowledged == o.Unacknowledged
+		l.Confirming == o.Confirming && l.ConfirmingSince == o.ConfirmingSince && l.MayHavePromoted == o.MayHavePromoted && l.Unacknowledged == o.Unacknowledged && l.Replicas.Equal(o.Replicas)
 }
 
 // WithUser returns the record with another user, or with one that was about to be
--- a/core/catalog/validate.go
+++ b/core/catalog/validate.go
@@ -18,6 +18,8 @@
 	maxCapacity = 1 << 16
 	// maxLinkMbps limits the speed of a machine's link, in Mbit/s.
 	maxLinkMbps = 1 << 30
+	// maxReplicaMembers limits the endpoints that a record names.
+	maxReplicaMembers = 256
 )
 
 // Validate reports why a record read from the store cannot be that of a group.
@@ -32,6 +34,27 @@
 	case !ascending(l.Users) || !ascending(l.Removed):
 		return fmt.Errorf("leadership record of group %.60q: users are not in ascending order; restore the record", group)
 	}
+	if err := l.Replicas.validate(); err != nil {
+		return fmt.Errorf("leadership record of group %.60q: %w", group, err)
+	}
+	return nil
+}
+
+func (s *ReplicaSet) validate() error {
+	if s == nil {
+		return nil
+	}
+	if s.Copies < 0 || len(s.Members) > maxReplicaMembers {
+		return fmt.Errorf("%d copies in %d replicas; restore the record", s.Copies, len(s.Members))
+	}
+	for i, m := range s.Members {
+		if m.ID == "" || i > 0 && s.Members[i-1].ID >= m.ID {
+			return fmt.Errorf("replica %.60q is out of order; restore the record", m.ID)
+		}
+		if err := validateAddr(m.Addr); err != nil {
+			return fmt.Errorf("replica %.60q: %w", m.ID, err)
+		}
+	}
 	return nil
 }
 
--- a/core/staleread/staleread.go
+++ b/core/staleread/staleread.go
@@ -82,6 +82,9 @@
 	return h.observations[len(h.observations)-1].sent, true
 }
 
+// Newest returns the highest position reported.
+func (h *PositionHistory) Newest() fleet.LogPosition { return h.newest }
+
 // Term returns the newest term reported.
 func (h *PositionHistory) Term() fleet.Term { return h.newest.Term }
 
--- a/core/takeover/acknowledged.go
+++ b/core/takeover/acknowledged.go
@@ -18,6 +18,21 @@
 	// RanBefore is set if the process has acted on an earlier record of the group, so that the
 	// process before it had ended when the last settled record was written.
 	RanBefore bool `json:"o,omitempty"`
+	// AtLeast is a position that no log with all of the process's acknowledged commits ends
+	// before, zero if it has acknowledged none that it can place.
+	AtLeast fleet.LogPosition `json:"m,omitzero"`
+}
+
+// LeastAcknowledged returns the highest of the positions that no log with all acknowledged commits
+// ends before. It counts whether or not all users have told theirs.
+func LeastAcknowledged(users []*AcknowledgedCommits) fleet.LogPosition {
+	var least fleet.LogPosition
+	for _, u := range users {
+		if u != nil {
+			least = least.Max(u.AtLeast)
+		}
+	}
+	return least
 }
 
 // AllAcknowledged returns a position that covers every acknowledged commit, given the knowledge
--- a/core/takeover/sync_search_test.go
+++ b/core/takeover/sync_search_test.go
@@ -9,7 +9,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
 )
 
 // The search visits every state that a group with one synchronous replica can reach within the
@@ -77,17 +79,27 @@
 	entries   int8
 	acked     uint8
 	change    syncChange
+	// named are the endpoints that the record names, as bits, unless unnamed is set: then a
+	// program that does not know of them wrote it. remembered are those that have left the list
+	// since the holder or the keeper was started.
+	named, remembered uint8
+	unnamed           bool
 	// What has happened, against the bounds of the search.
-	changes, crashes, leaves, lapses, refusals, stops int8
+	changes, crashes, leaves, lapses, refusals, stops, restarts int8
 }
 
 type syncSearch struct {
-	maxChanges, maxCrashes, maxLeaves, maxLapses, maxRefusals, maxStops int8
+	maxChanges, maxCrashes, maxLeaves, maxLapses, maxRefusals, maxStops, maxRestarts int8
+	// unnamed begins with a record that names no endpoints. namedLate lets an endpoint that is back
+	// receive before the record names it, and leastKnown lets the users tell a position that no log
+	// with all acknowledged commits ends before.
+	unnamed, namedLate, leastKnown bool
 	// twoDown lets two endpoints be down at once. acknowledgedKnown is set if the users tell
 	// the holder what they have acknowledged.
 	twoDown, acknowledgedKnown bool
 	// Mutations.
 	availabilityFirst, firstAnswerDecides, forgetRefused, promoteUnanswered, forgetLapsed, forgetSuccessor, ignoreFormer, forgetDropped, partlyAcknowledged bool
+	ignoreNamed, dropUnproved, dropRunning, unknownIsEmpty                                                                                                  bool
 }
 
 func (e *syncEndpoint) len() int8 {
@@ -120,6 +132,11 @@
 	emit := func(action string, change func(*syncState)) {
 		next := st
 		change(&next)
+		if next.change.active || s.namedLate {
+			// The record of a change names no more, and neither does a late keeper.
+		} else if !next.unnamed {
+			next.named |= next.listed()
+		}
 		if next != st {
 			f(action, next)
 		}
@@ -155,7 +172,12 @@
 			})
 		}
 		if e.down && !e.exited && (s.twoDown || e.listing == inList) {
-			emit(name("is back with its log"), func(x *syncState) { x.endpoints[r].down = false })
+			emit(name("is back with its log"), func(x *syncState) {
+				x.endpoints[r].down = false
+				if x.named&(1<<r) == 0 && !s.namedLate {
+					x.endpoints[r].listing = inList // and named at once
+				}
+			})
 		}
 		if !e.leaving && !e.down && st.leaves < s.maxLeaves {
 			emit(name("announces its end"), func(x *syncState) {
@@ -166,6 +188,7 @@
 		if e.leaving && !e.down {
 			emit(name("exits"), func(x *syncState) {
 				x.endpoints[r].down, x.endpoints[r].exited, x.endpoints[r].listing = true, true, lapsed
+				x.remembered |= 1 << r
 			})
 		}
 		if e.exited {
@@ -182,6 +205,7 @@
 		case e.listing == inList && (e.down || st.lapses < s.maxLapses):
 			emit(name("lapses"), func(x *syncState) {
 				x.endpoints[r].listing = lapsed
+				x.remembered |= 1 << r
 				if !e.down {
 					x.lapses++
 				}
@@ -192,10 +216,18 @@
 			emit(name("is listed again"), func(x *syncState) { x.endpoints[r].listing = inList })
 		}
 	}
+	if st.restarts < s.maxRestarts {
+		emit("the processes are started again without memory", func(x *syncState) {
+			x.restarts++
+			x.remembered = 0
+			x.change.answered, x.change.refused = [groupSize]syncAnswer{}, [groupSize]bool{}
+		})
+	}
 	if st.change.active {
 		s.carryOut(st, emit)
 		return
 	}
+	s.correctReplicas(st, emit)
 	if st.changes == s.maxChanges {
 		return
 	}
@@ -224,6 +256,48 @@
 	}
 }
 
+// listed returns the endpoints in the list, as bits.
+func (st *syncState) listed() uint8 {
+	listed := uint8(0)
+	for r := range st.endpoints {
+		if st.endpoints[r].listing == inList && !st.endpoints[r].exited {
+			listed |= 1 << r
+		}
+	}
+	return listed
+}
+
+// correctReplicas yields the actions of the first keeper: it proves the replicas that the record
+// should name.
+func (s *syncSearch) correctReplicas(st syncState, emit func(string, func(*syncState))) {
+	leader := &st.endpoints[st.leader]
+	listed := st.listed()
+	if leader.down || leader.listing != inList || listed == st.named && !st.unnamed {
+		return
+	}
+	if s.namedLate && listed&^st.named != 0 {
+		emit("the listed replicas are named", func(x *syncState) { x.named |= listed })
+		return
+	}
+	var next catalog.ReplicaSet
+	next.Copies = syncOne
+	var reports []ReplicaReport
+	for r := range st.endpoints {
+		e, id := &st.endpoints[r], fleet.EndpointID('0'+rune(r))
+		if listed&(1<<r) != 0 {
+			next.Members = append(next.Members, catalog.ReplicaMember{ID: id})
+		}
+		if int8(r) != st.leader && !e.down && (listed&(1<<r) != 0 || !s.dropRunning) {
+			reports = append(reports, ReplicaReport{id, st.position(e.len(), e.last())})
+		}
+	}
+	record := catalog.Leadership{Primary: fleet.EndpointID('0' + rune(st.leader)), PrimaryTerm: fleet.Term(st.term)}
+	state := stmt.EndpointState{Primary: true, Term: fleet.Term(st.term), Received: st.position(leader.len(), leader.last())}
+	if s.dropUnproved || ProvesReplicas(record, &next, state, reports) {
+		emit("the listed replicas are proved", func(x *syncState) { x.named, x.unnamed, x.remembered = listed, false, 0 })
+	}
+}
+
 // receive gives a replica the next entry of the leader, in place of entries that the leader
 // does not have.
 func (st *syncState) receive(r int) {
@@ -256,7 +330,8 @@
 	ch := &st.change
 	for r := range st.endpoints {
 		e := &st.endpoints[r]
-		if int8(r) == ch.former || e.down || e.listing == dropped && s.forgetDropped || e.listing == lapsed && s.forgetLapsed {
+		unknown := e.listing != inList && st.remembered&(1<<r) == 0 && (st.named&(1<<r) == 0 || s.ignoreNamed)
+		if int8(r) == ch.former || e.down || unknown || e.listing == dropped && s.forgetDropped || e.listing == lapsed && s.forgetLapsed {
 			continue
 		}
 		emit(fmt.Sprintf("endpoint %d answers", r), func(x *syncState) {
@@ -283,6 +358,16 @@
 		})
 	}
 	evidence := Evidence{SyncReplicas: syncOne}
+	if !st.unnamed || s.unknownIsEmpty {
+		evidence.Replicas = &catalog.ReplicaSet{Copies: syncOne}
+	}
+	if s.leastKnown {
+		for id := int8(1); id <= st.entries; id++ {
+			if st.acked&(1<<id) != 0 {
+				evidence.Least = evidence.Least.Max(st.position(st.entryPos[id], id))
+			}
+		}
+	}
 	if ch.targetKnown && !s.ignoreFormer {
 		evidence.Former = st.position(ch.targetLen, ch.targetEntry)
 	}
@@ -304,6 +389,8 @@
 		case a.known:
 			evidence.Candidates = append(evidence.Candidates, Candidate{Endpoint: fleet.EndpointID('0' + rune(r)), Received: st.position(a.len, a.last),
 				Term: fleet.Term(a.term), TakenOver: a.primary, Leaving: e.leaving, Refused: ch.refused[r]})
+		case e.listing != inList && st.remembered&(1<<r) == 0 && (st.named&(1<<r) == 0 || s.ignoreNamed):
+			// no longer known
 		case e.listing == inList || e.listing == lapsed && !s.forgetLapsed || e.listing == dropped && !s.forgetDropped && !s.forgetLapsed:
 			evidence.Missing++
 			if s.promoteUnanswered {
@@ -349,7 +436,7 @@
 }
 
 // maxSyncStates bounds the states that one search keeps; a search that reaches it fails.
-const maxSyncStates = 3_000_000
+const maxSyncStates = 6_000_000
 
 type syncOrigin struct {
 	parent uint64
@@ -361,7 +448,10 @@
 func (s *syncSearch) run() (play string, states int) {
 	seed := maphash.MakeSeed()
 	hash := func(st syncState) uint64 { return maphash.Comparable(seed, st) }
-	first := syncState{term: 1}
+	first := syncState{term: 1, unnamed: s.unnamed}
+	if !s.unnamed {
+		first.named = 1<<groupSize - 1
+	}
 	for i := range first.endpoints {
 		first.endpoints[i].term = 1
 	}
@@ -418,10 +508,14 @@
 		{twoDown: true, maxChanges: 1, maxCrashes: 2},
 		{twoDown: true, acknowledgedKnown: true, maxChanges: 1, maxCrashes: 2},
 		{twoDown: true, acknowledgedKnown: true, maxChanges: 1, maxCrashes: 2, maxStops: 1},
+		{twoDown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
+		{twoDown: true, unnamed: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
+		{twoDown: true, namedLate: true, leastKnown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
+		{maxChanges: 1, maxCrashes: 1, maxLeaves: 1, maxRestarts: 1},
 	} {
 		play, states := s.run()
-		t.Logf("two down %v, acknowledged known %v, %d changes, %d crashes, %d leave, %d lapse, %d refusals, %d holders stop: %d states", s.twoDown, s.acknowledgedKnown,
-			s.maxChanges, s.maxCrashes, s.maxLeaves, s.maxLapses, s.maxRefusals, s.maxStops, states)
+		t.Logf("two down %v, acknowledged known %v, least known %v, record without replicas %v, named late %v, %d changes, %d crashes, %d leave, %d lapse, %d refusals, %d holders stop, %d restarts: %d states",
+			s.twoDown, s.acknowledgedKnown, s.leastKnown, s.unnamed, s.namedLate, s.maxChanges, s.maxCrashes, s.maxLeaves, s.maxLapses, s.maxRefusals, s.maxStops, s.maxRestarts, states)
 		assert.Equal(t, play, "")
 		assert.Assert(t, states < maxSyncStates)
 	}
@@ -439,6 +533,11 @@
 		"the successor of a primary is forgotten": {forgetSuccessor: true, forgetDropped: true, maxChanges: 2, maxCrashes: 1, maxLeaves: 1},
 		"the log of the old primary is ignored":   {ignoreFormer: true, forgetDropped: true, maxChanges: 1, maxCrashes: 1, maxLeaves: 1},
 		"an endpoint that left the list is gone":  {forgetDropped: true, twoDown: true, maxChanges: 1, maxCrashes: 2},
+		"the memory of replicas is lost":          {ignoreNamed: true, twoDown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
+		"a replica is dropped without proof":      {dropUnproved: true, twoDown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
+		"a replica that runs is dropped":          {dropRunning: true, twoDown: true, maxChanges: 1, maxCrashes: 2, maxLapses: 1, maxRestarts: 1},
+		"unknown replicas are none":               {unknownIsEmpty: true, unnamed: true, twoDown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
+		"what some users tell is ignored":         {namedLate: true, twoDown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
 		"one user does not tell":                  {partlyAcknowledged: true, acknowledgedKnown: true, twoDown: true, maxChanges: 1, maxCrashes: 2},
 	} {
 		play, states := s.run()
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -184,8 +184,10 @@
 	SyncReplicas int
 	// Candidates are the replicas that have reported their positions.
 	Candidates []Candidate
-	// Missing counts the other endpoints that may have received acknowledged commits, also
-	// those that have left the platform's list: they may come back with their logs.
+	// Replicas are the endpoints that may hold acknowledged commits, nil if they are not known.
+	Replicas *catalog.ReplicaSet
+	// Missing counts those that have not reported, and others that may hold acknowledged commits.
+	// They may have left the platform's list, and come back with their logs.
 	Missing int
 	// Former is the last position of the old primary, zero if it does not answer. Replicas
 	// that receive from it reach this position.
@@ -193,24 +195,30 @@
 	// Acknowledged is a position that covers every commit which any user of the old primary has
 	// acknowledged to a caller, zero if that is not known of all users.
 	Acknowledged fleet.LogPosition
+	// Least is a position that no log with all acknowledged commits ends before; see
+	// LeastAcknowledged.
+	Least fleet.LogPosition
 }
 
 // HoldsAcknowledged reports whether the log of the chosen candidate is known to hold every
 // acknowledged commit: it has all that the old primary has or, if that is not known, all that
 // the users have acknowledged or all that any of the candidates has received, where too few
-// endpoints are missing for a commit to have been acknowledged by them alone. There is no time
+// endpoints are missing for a commit to have been acknowledged by them alone. The last one needs
+// the endpoints to be known, and a log that reaches what the users have told. There is no time
 // after which an endpoint is promoted without that: the commits may come back with an endpoint,
 // and an operator who gives them up sets the group's number of synchronous replicas to 0.
 func (e Evidence) HoldsAcknowledged(chosen Candidate) bool {
 	switch {
 	case e.SyncReplicas == 0, chosen.TakenOver && chosen.Term == HighestTerm(0, e.Candidates):
 		return true
+	case chosen.Received.Compare(e.Least) < 0:
+		return false
 	case e.Former != (fleet.LogPosition{}):
 		return chosen.Received.Compare(e.Former) >= 0
 	case e.Acknowledged != (fleet.LogPosition{}) && chosen.Received.Compare(e.Acknowledged) >= 0:
 		return true
 	}
-	return e.Missing < e.SyncReplicas &&
+	return e.Replicas != nil && e.Missing < min(e.Replicas.Copies, e.SyncReplicas) &&
 		!slices.ContainsFunc(e.Candidates, func(c Candidate) bool { return c.Received.Compare(chosen.Received) > 0 })
 }
 
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -139,6 +139,7 @@
 func TestHoldsAcknowledged(t *testing.T) {
 	at := func(n fleet.Position) fleet.LogPosition { return fleet.LogPosition{Term: 1, Position: n} }
 	one := Candidate{Endpoint: "r", Received: at(5)}
+	unknown := &catalog.ReplicaSet{}
 	for name, k := range map[string]struct {
 		e    Evidence
 		want bool
@@ -151,8 +152,25 @@
 		"the old primary has as much":                {Evidence{Missing: 2, Former: at(5)}, true},
 		"another candidate has more":                 {Evidence{Candidates: []Candidate{{Received: at(6)}}}, false},
 		"another has more, which nobody was told of": {Evidence{Candidates: []Candidate{{Received: at(6)}}, Acknowledged: at(5)}, true},
+		"a user has been told more":                  {Evidence{Least: at(6)}, false},
+		"a user has been told as much":               {Evidence{Least: at(5)}, true},
+		"the others are not known":                   {Evidence{Replicas: unknown}, false},
+		"not known, but all is here":                 {Evidence{Replicas: unknown, Acknowledged: at(5)}, true},
+		"not known, but the old primary has no more": {Evidence{Replicas: unknown, Former: at(5)}, true},
+		"copies that are not counted on yet":         {Evidence{SyncReplicas: 2, Missing: 1}, false},
+		"one of two copies is missing":               {Evidence{SyncReplicas: 2, Missing: 1, Replicas: &catalog.ReplicaSet{Copies: 2}}, true},
+		"both copies are missing":                    {Evidence{SyncReplicas: 2, Missing: 2, Replicas: &catalog.ReplicaSet{Copies: 2}}, false},
+		"the number was lowered":                     {Evidence{Missing: 1, Replicas: &catalog.ReplicaSet{Copies: 2}}, false},
 	} {
-		k.e.SyncReplicas = 1
+		if k.e.SyncReplicas == 0 {
+			k.e.SyncReplicas = 1
+		}
+		switch k.e.Replicas {
+		case nil:
+			k.e.Replicas = &catalog.ReplicaSet{Copies: 1}
+		case unknown:
+			k.e.Replicas = nil
+		}
 		k.e.Candidates = append(k.e.Candidates, one)
 		assert.Equal(t, k.e.HoldsAcknowledged(one), k.want, name)
 	}
--- /dev/null
+++ b/edge/app/sync_restart_test.go
@@ -0,0 +1,106 @@
+package app
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/platform"
+)
+
+// startSyncProcesses starts two instances in processes of their own, in a fleet whose group has
+// sync_replicas 1, and returns a session of the first one and a function that kills both.
+func startSyncProcesses(t *testing.T) (f *testFleet, c *client, killAll func()) {
+	f = newTestFleet(t)
+	f.group.SetSyncReplicas(1)
+	f.config["services"] = []any{map[string]any{"name": "bookings", "max_conns": 40, "sync_replicas": 1}}
+	f.publish()
+	a, b := f.startProcess("edge-1", true), f.startProcess("edge-2", true)
+	f.waitUntil(5*time.Second, func() bool { return f.serves(a) && f.serves(b) })
+	c, _ = dial(t, a.app, "latest", "key-acme")
+	return f, c, func() { a.kill(); b.kill() }
+}
+
+// restartProcesses starts instances without memory and returns a session of the first one.
+func (f *testFleet) restartProcesses() *client {
+	a := f.startProcess("edge-1", false)
+	f.startProcess("edge-2", false)
+	f.waitUntil(5*time.Second, func() bool { return f.accepts(a) })
+	c, _ := dial(f.t, a.app, "latest", "key-acme")
+	return c
+}
+
+// accepts reports whether an instance accepts sessions.
+func (f *testFleet) accepts(p process) bool {
+	conn, err := platform.Dial(p.settings.CallerAddr, 100*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	c, hello := dial(f.t, p.app, "latest", "key-acme")
+	_ = c.conn.Close()
+	return hello == "READY I -"
+}
+
+// recorded reports whether the record of the group names exactly these replicas.
+func (f *testFleet) recorded(ids ...string) bool {
+	set := f.record().Replicas
+	if set == nil || len(set.Members) != len(ids) {
+		return false
+	}
+	return !slices.ContainsFunc(ids, func(id string) bool { return !set.Has(fleet.EndpointID(id)) })
+}
+
+// Guards against acknowledged commits that are lost because all instances are started again after
+// the only replica that has them has left the list, so that none remembers it (review/11).
+func TestReplicaThatLeftIsAwaitedAfterRestart(t *testing.T) {
+	f, c, killAll := startSyncProcesses(t)
+	e := f.endpoints
+	f.waitUntil(2*time.Second, func() bool { return f.recorded(e[0].ID, e[1].ID, e[2].ID) })
+	items := f.loseTwo(c)
+	f.store.Delete("servers", e[0].ID)
+	killAll()
+	c = f.restartProcesses()
+	for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(100 * time.Millisecond) {
+		assert.Assert(t, !e[2].IsPrimary(), "promoted %v after the restart", time.Since(start))
+	}
+	assert.NilError(t, e[1].Restart())
+	f.assertLeads(c, e[1], items)
+}
+
+// Guards against a group that waits for ever for a replica that is lost for good: the others have
+// received since all that it may have had.
+func TestLostReplicaIsDroppedOnceOthersHaveItsLog(t *testing.T) {
+	f, c, killAll := startSyncProcesses(t)
+	e := f.endpoints
+	items := c.write("early", 3)
+	e[1].Crash()
+	f.store.Delete("servers", e[1].ID)
+	items = append(items, c.write("late", 3)...)
+	assert.Equal(t, len(items), 6)
+	f.waitUntil(8*time.Second, func() bool { return f.recorded(e[0].ID, e[2].ID) })
+	killAll()
+	e[0].Crash()
+	f.assertLeads(f.restartProcesses(), e[2], items)
+}
+
+// Guards against a replica that is dropped while it alone has what was acknowledged, and against
+// one that is back and not counted.
+func TestReplicaIsNotDroppedWhileOthersLackItsLog(t *testing.T) {
+	f, c, _ := startSyncProcesses(t)
+	e := f.endpoints
+	e[2].SetDeaf(true)
+	assert.Equal(t, len(c.write("late", 3)), 3)
+	e[1].Crash()
+	f.store.Delete("servers", e[1].ID)
+	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(100 * time.Millisecond) {
+		assert.Assert(t, f.recorded(e[0].ID, e[1].ID, e[2].ID))
+	}
+	e[2].SetDeaf(false)
+	f.waitUntil(10*time.Second, func() bool { return f.recorded(e[0].ID, e[2].ID) })
+	assert.NilError(t, e[1].Restart())
+	f.waitUntil(2*time.Second, func() bool { return f.recorded(e[0].ID, e[1].ID, e[2].ID) })
+}
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -155,6 +155,8 @@
 	// acknowledged covers all commits that the users have acknowledged to callers, zero if that
 	// is not known.
 	acknowledged fleet.LogPosition
+	// leastAcknowledged is a position that no log with all acknowledged commits ends before.
+	leastAcknowledged fleet.LogPosition
 	// putOff is set once no log was known to hold all acknowledged commits.
 	putOff bool
 	// removal is set if users are removed and the primary stays. There is no call to the
@@ -182,6 +184,9 @@
 	}
 	l := takeover.Claim(old, c.era.Load(), holder, claim)
 	l.Term = max(old.Term, old.PrimaryTerm, c.Pool.Term(old.Group)) + 1
+	if c.runInLoop(ctx, func() { c.nameFirstReplicas(&l, old) }) != nil {
+		return false
+	}
 	l.Planned = isPlanned(ch.cause)
 	if !old.Settled {
 		group, known := c.changedGroup(ctx, old.Group)
@@ -309,7 +314,7 @@
 		}
 	})
 	confirmed, former, result := wait.awaitConfirmations(ctx, leads)
-	ch.acknowledged = wait.acknowledged
+	ch.acknowledged, ch.leastAcknowledged = wait.acknowledged, wait.leastAcknowledged
 	if result == oldPrimaryUnused {
 		ch.ctl.Log.Info("control: no instance uses the old primary any more", "group", string(ch.old.Group), "users", len(ch.record.Users),
 			"confirmed", len(confirmed), "after_ms", (ch.ctl.Clock.Now() - ch.claimedAt).Milliseconds())
@@ -393,7 +398,7 @@
 	if c.runInLoop(ctx, func() {
 		c.adoptLeadership(l)
 		c.publishView()
-		g, known = c.groupEndpoints(l.Group, l.Primary)
+		g, known = c.groupEndpoints(l, l.Primary)
 	}) == nil && known && g.syncReplicas > 0 {
 		c.resumeReplicas(l, g.replicas)
 	}
@@ -458,6 +463,7 @@
 		if at, known := takeover.AllAcknowledged(ch.record, acknowledgedCommits); known {
 			ch.acknowledged = at
 		}
+		ch.leastAcknowledged = takeover.LeastAcknowledged(acknowledgedCommits)
 		mu.Unlock()
 		select {
 		case former = <-leads:
@@ -560,7 +566,7 @@
 	for ch.claimValid(ctx) {
 		var g groupEndpoints
 		known := false
-		if c.runInLoop(ctx, func() { g, known = c.groupEndpoints(ch.old.Group, ch.record.Former) }) != nil {
+		if c.runInLoop(ctx, func() { g, known = c.groupEndpoints(ch.record, ch.record.Former) }) != nil {
 			return false
 		}
 		if !known {
@@ -629,7 +635,8 @@
 			c.Metrics.Count("promotions_put_off")
 			c.Log.Warn("control: no log is known to hold all acknowledged commits; bring the endpoints that are missing back, or set sync_replicas to 0 to give up what they alone have",
 				"group", string(ch.old.Group), "missing", evidence.Missing, "best", string(best.Endpoint), "position", uint64(best.Received.Position),
-				"former", uint64(evidence.Former.Position), "acknowledged", uint64(evidence.Acknowledged.Position))
+				"former", uint64(evidence.Former.Position), "acknowledged", uint64(evidence.Acknowledged.Position),
+				"at_least", uint64(evidence.Least.Position), "replicas_known", evidence.Replicas != nil)
 			return false
 		}
 		if ch.record.Confirming && !ch.beginPromotion(ctx) {
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -112,9 +112,11 @@
 	// entries holds the latest entry of each endpoint that is listed or has left the list
 	// within goneRetention.
 	entries map[fleet.EndpointID]*endpointEntry
-	groups  map[fleet.GroupID]*group
-	members map[fleet.InstanceID]catalog.Member
-	peers   map[fleet.InstanceID]*peer
+	// goneByGroup holds those of them that have left the list.
+	goneByGroup map[fleet.GroupID][]catalog.Endpoint
+	groups      map[fleet.GroupID]*group
+	members     map[fleet.InstanceID]catalog.Member
+	peers       map[fleet.InstanceID]*peer
 	// memberRows caches the decoded member records by the key of their row.
 	memberRows map[string]memberRow
 	// eraSeenAt is when the latest era began for this process, 0 if the process started
@@ -212,6 +214,12 @@
 	// process has acted on an earlier record; see takeover.AcknowledgedCommits.
 	settledOrder uint64
 	ranBefore    bool
+	// correcting is set while this instance corrects the replicas that the record names, and
+	// replicasCheckAt is when it may try again. unprovedSince is since when they need a proof, 0 if
+	// they need none, and proofFailures counts the attempts since.
+	correcting                     bool
+	replicasCheckAt, unprovedSince time.Duration
+	proofFailures                  int
 	// joining is set while this instance registers as a user of the primary. nextJoin
 	// is when it may try again, and joinRequestedAt when a statement last needed it.
 	joining                   bool
@@ -275,7 +283,7 @@
 		Config: c, mailbox: make(chan func(), 64), tables: map[string]*table{},
 		listed: map[fleet.EndpointID]catalog.Endpoint{}, unlisted: map[fleet.EndpointID]time.Duration{},
 		lastEntries: map[fleet.EndpointID]catalog.Endpoint{}, groups: map[fleet.GroupID]*group{},
-		entries: map[fleet.EndpointID]*endpointEntry{},
+		entries: map[fleet.EndpointID]*endpointEntry{}, goneByGroup: map[fleet.GroupID][]catalog.Endpoint{},
 		members: map[fleet.InstanceID]catalog.Member{}, peers: map[fleet.InstanceID]*peer{}, lease: lease.New(),
 		permissions: map[fleet.GroupID]lease.Permission{}, groupDataCentres: map[fleet.GroupID]map[fleet.DataCentre]bool{},
 		memberRows: map[string]memberRow{}, presence: relay.NewPresence(), changed: make(chan struct{}),
@@ -427,6 +435,7 @@
 	if l.Confirming && l.ConfirmingSince != g.confirmingSince {
 		g.confirmingSince, g.confirmingAt = l.ConfirmingSince, g.learnedAt
 	}
+	c.forgetDroppedReplicas(old, l)
 	if l.RenewedEra > old.RenewedEra {
 		g.renewedAt = g.learnedAt
 	}
@@ -462,6 +471,7 @@
 	if !g.record.Settled {
 		known := &takeover.AcknowledgedCommits{Record: g.settledOrder, RanBefore: g.ranBefore}
 		known.Position, known.Base = c.Pool.Acknowledged(g.record.Group)
+		known.AtLeast = c.Pool.LeastAcknowledged(g.record.Group)
 		res.Acknowledged = known
 	}
 	return res
@@ -612,6 +622,7 @@
 		if !facts.Known(takeover.Replacement) {
 			continue
 		}
+		c.correctReplicas(ctx, now, facts.Configuration.Groups[id], g)
 		s, addr := c.takeoverObservation(id, now)
 		if s.Rank == 0 {
 			c.checkHolder(ctx, now, g)
--- a/edge/control/entries.go
+++ b/edge/control/entries.go
@@ -9,11 +9,9 @@
 
 const (
 	// goneRetention is how long an endpoint that has left the list is remembered. The
-	// store comes back from copies that are seconds old.
+	// store comes back from copies that are seconds old, and the record of a group with
+	// synchronous replicas names an endpoint some milliseconds after it was listed.
 	goneRetention = time.Minute
-	// logRetention is the same in a group with synchronous replicas, where an endpoint that has
-	// left the list may come back as the only one with acknowledged commits.
-	logRetention = 10 * time.Minute
 	// goneDoubt is how long an entry from a copy of the store does not count for an
 	// endpoint that had left the list. One that runs reports again within 2 s, and the
 	// entry of another lapses after three heartbeats.
@@ -69,13 +67,9 @@
 func (c *Controller) reviewEntries(now time.Duration) {
 	review := false
 	for id, k := range c.entries {
-		retention := goneRetention
-		if c.catalog != nil && c.catalog.Groups[k.entry.Group].SyncReplicas > 0 {
-			retention = logRetention
-		}
 		switch {
 		case !k.gone:
-		case now >= k.goneAt+retention:
+		case now >= k.goneAt+goneRetention:
 			delete(c.entries, id)
 		case k.copied > 0 && !k.reviewed && now >= k.copiedAt+goneDoubt:
 			k.reviewed, review = true, true
@@ -84,4 +78,15 @@
 	if review {
 		c.tableChanged(c.Schema.EndpointTable)
 	}
+	c.indexGone()
+}
+
+// indexGone collects the remembered endpoints that have left the list by group.
+func (c *Controller) indexGone() {
+	clear(c.goneByGroup)
+	for _, k := range c.entries {
+		if k.gone {
+			c.goneByGroup[k.entry.Group] = append(c.goneByGroup[k.entry.Group], k.entry)
+		}
+	}
 }
--- a/edge/control/evacuation.go
+++ b/edge/control/evacuation.go
@@ -177,7 +177,7 @@
 // former.
 func (c *Controller) allEvacuated(id fleet.GroupID, former fleet.EndpointID) bool {
 	set := c.evacuations.tracker.Set()
-	g, known := c.groupEndpoints(id, former)
+	g, known := c.groupEndpoints(c.leadership(id), former)
 	return known && len(set) > 0 && !slices.ContainsFunc(g.replicas, func(e catalog.Endpoint) bool { return !set.Has(e.DataCentre) })
 }
 
@@ -197,7 +197,7 @@
 			inside++
 		}
 	}
-	return inside == 0 || inside < g.syncReplicas
+	return inside == 0 || g.set != nil && inside < min(g.set.Copies, g.syncReplicas)
 }
 
 // knownAsEvacuated reports whether an endpoint is in a data centre that is being evacuated, also
--- a/edge/control/positions.go
+++ b/edge/control/positions.go
@@ -36,6 +36,8 @@
 	// gets its log and its address is not listed yet.
 	successorDue bool
 	syncReplicas int
+	// set names the endpoints that may hold acknowledged commits, nil if they are not known.
+	set *catalog.ReplicaSet
 }
 
 // groupEndpoints returns the endpoints of a group other than former. With synchronous replicas
@@ -43,15 +45,14 @@
 // their log: each may be the only one with the latest commits, and come back.
 // For the same reason those in an evacuated data centre are among them then; they are asked
 // while that is permitted, and never promoted. It returns false if an input is unknown.
-func (c *Controller) groupEndpoints(id fleet.GroupID, former fleet.EndpointID) (groupEndpoints, bool) {
+func (c *Controller) groupEndpoints(record catalog.Leadership, former fleet.EndpointID) (groupEndpoints, bool) {
+	id := record.Group
 	group, known := c.facts().Group(id, takeover.Replacement)
 	if !known {
 		return groupEndpoints{}, false
 	}
-	g := groupEndpoints{former: c.lastEntries[former], syncReplicas: group.SyncReplicas}
-	addrs := map[string]bool{}
+	g := groupEndpoints{former: c.lastEntries[former], syncReplicas: group.SyncReplicas, set: record.Replicas}
 	for _, e := range c.listedByGroup[id] {
-		addrs[e.Addr] = true
 		if e.ID != former && (g.syncReplicas > 0 || !c.evacuations.tracker.Set().Has(e.DataCentre)) {
 			g.replicas = append(g.replicas, e)
 		}
@@ -59,31 +60,36 @@
 	if g.syncReplicas == 0 {
 		return g, true
 	}
-	if k := c.entries[former]; k != nil && g.former.ID == "" && !addrs[k.entry.Addr] {
-		g.former = k.entry
-	}
-	for eid, k := range c.entries {
-		e := k.entry
-		if last, ok := c.lastEntries[eid]; ok {
+	for _, e := range takeover.MissingReplicas(record, c.listedByGroup[id], c.remembered(record)) {
+		if last, ok := c.lastEntries[e.ID]; ok {
 			e = last
+		} else if k := c.entries[e.ID]; k != nil {
+			e = k.entry
 		}
 		switch {
-		case !k.gone || e.Group != id || addrs[e.Addr]:
-		case eid == former:
-			g.successorDue = e.Leaving
-		default:
+		case e.ID != former:
 			g.replicas = append(g.replicas, e)
+		case g.former.ID == "":
+			g.former, g.successorDue = e, e.Leaving
+		default:
+			g.successorDue = e.Leaving
 		}
 	}
 	return g, true
 }
 
+// remembered returns the endpoints of a group that have left the list within goneRetention, as far
+// as no record has named them; see takeover.PlanReplicas.
+func (c *Controller) remembered(record catalog.Leadership) []catalog.Endpoint {
+	return slices.DeleteFunc(slices.Clone(c.goneByGroup[record.Group]), func(e catalog.Endpoint) bool { return record.Replicas.Has(e.ID) })
+}
+
 // readyForPlannedChange reports whether a planned change of a group may begin; see
 // takeover.ReadyForPlannedChange. Otherwise the change is put off.
 func (c *Controller) readyForPlannedChange(ctx context.Context, old catalog.Leadership, cause takeover.Cause) bool {
 	var g groupEndpoints
 	known := false
-	if c.runInLoop(ctx, func() { g, known = c.groupEndpoints(old.Group, old.Primary) }) != nil || !known {
+	if c.runInLoop(ctx, func() { g, known = c.groupEndpoints(old, old.Primary) }) != nil || !known {
 		return false
 	}
 	if g.syncReplicas == 0 {
@@ -133,7 +139,7 @@
 	defer reports.stop()
 	start := c.Clock.Now()
 	for {
-		e := takeover.Evidence{SyncReplicas: g.syncReplicas, Former: former, Acknowledged: ch.acknowledged}
+		e := takeover.Evidence{SyncReplicas: g.syncReplicas, Replicas: g.set, Former: former, Acknowledged: ch.acknowledged, Least: ch.leastAcknowledged}
 		var leads formerPrimary
 		e.Candidates, leads, e.Missing = reports.candidates(ch.old.Former, previousTerm)
 		if leads.id != "" {
@@ -169,7 +175,7 @@
 			return e, leads
 		}
 		if !sleep(ctx, changePollInterval/2) {
-			return takeover.Evidence{SyncReplicas: g.syncReplicas}, formerPrimary{}
+			return takeover.Evidence{SyncReplicas: g.syncReplicas, Replicas: g.set}, formerPrimary{}
 		}
 	}
 }
--- a/edge/control/positions_test.go
+++ b/edge/control/positions_test.go
@@ -14,7 +14,7 @@
 
 // endpointsOf returns the endpoints that take part in a change of a group's primary p.
 func (f *tablesTest) endpointsOf(id fleet.GroupID) groupEndpoints {
-	g, known := f.groupEndpoints(id, "p")
+	g, known := f.groupEndpoints(f.leadership(id), "p")
 	assert.Assert(f.t, known)
 	return g
 }
@@ -58,17 +58,47 @@
 }
 
 // Guards against an endpoint that left the list before its group's primary failed and is
-// forgotten after some seconds, though it may come back with acknowledged commits.
+// forgotten, though it may come back with acknowledged commits: by a process that has seen it
+// leave, and by one that was started after that (review/11).
 func TestEndpointsThatLeftTheListAreMissing(t *testing.T) {
-	f := newTablesTest(t)
-	f.catalog = &catalog.Catalog{Groups: map[fleet.GroupID]catalog.Group{"bookings": {ID: "bookings", SyncReplicas: 1}}}
-	f.put(platform.EndpointTable, "p", endpointRow("10.0.0.1:1", "primary"))
-	f.put(platform.EndpointTable, "r1", endpointRow("10.0.0.2:1", "replica"))
-	f.put(platform.EndpointTable, "r1", nil)
-	left := f.entries["r1"].goneAt
-	f.removeUnlistedEndpoints(left + unlistedRetention)
-	f.reviewEntries(left + logRetention - time.Second)
-	assert.Equal(t, len(f.endpointsOf("bookings").replicas), 1)
-	f.reviewEntries(left + logRetention)
-	assert.Equal(t, len(f.endpointsOf("bookings").replicas), 0)
+	record := catalog.Leadership{Group: "bookings", Primary: "p", Settled: true, Version: 9, Revision: 9, Term: 2, Users: []fleet.InstanceID{"self"},
+		Replicas: &catalog.ReplicaSet{Copies: 1, Members: []catalog.ReplicaMember{{ID: "p", Addr: "10.0.0.1:1"}, {ID: "r1", Addr: "10.0.0.2:1"}, {ID: "r2", Addr: "10.0.0.3:1"}}}}
+	for _, restarted := range []bool{false, true} {
+		f := newTablesTest(t)
+		f.catalog = &catalog.Catalog{Groups: map[fleet.GroupID]catalog.Group{"bookings": {ID: "bookings", SyncReplicas: 1}}}
+		f.adoptLeadership(record)
+		f.put(platform.EndpointTable, "p", endpointRow("10.0.0.1:1", "primary"))
+		f.put(platform.EndpointTable, "r2", endpointRow("10.0.0.3:1", "replica"))
+		if !restarted {
+			f.put(platform.EndpointTable, "r1", endpointRow("10.0.0.2:1", "replica"))
+			f.put(platform.EndpointTable, "r1", nil)
+		}
+		missing := func() []string {
+			var ids []string
+			for _, e := range f.endpointsOf("bookings").replicas {
+				if _, listed := f.listed[e.ID]; !listed {
+					ids = append(ids, string(e.ID)+" at "+e.Addr)
+				}
+			}
+			return ids
+		}
+		assert.DeepEqual(t, missing(), []string{"r1 at 10.0.0.2:1"})
+		f.removeUnlistedEndpoints(time.Hour)
+		f.reviewEntries(time.Hour)
+		assert.DeepEqual(t, missing(), []string{"r1 at 10.0.0.2:1"})
+
+		// An endpoint that no record has named yet is remembered by the process.
+		f.put(platform.EndpointTable, "r4", endpointRow("10.0.0.4:1", "replica"))
+		f.put(platform.EndpointTable, "r4", nil)
+		assert.DeepEqual(t, missing(), []string{"r1 at 10.0.0.2:1", "r4 at 10.0.0.4:1"})
+		named := record
+		named.Revision, named.Version, named.Replicas = 10, 10, &catalog.ReplicaSet{Copies: 1, Members: append(slices.Clone(record.Replicas.Members), catalog.ReplicaMember{ID: "r4", Addr: "10.0.0.4:1"})}
+		f.adoptLeadership(named)
+		assert.DeepEqual(t, missing(), []string{"r1 at 10.0.0.2:1", "r4 at 10.0.0.4:1"})
+		proved := record
+		proved.Revision, proved.Version, proved.Replicas = 11, 11, &catalog.ReplicaSet{Copies: 1, Members: []catalog.ReplicaMember{{ID: "p", Addr: "10.0.0.1:1"}, {ID: "r2", Addr: "10.0.0.3:1"}}}
+		f.adoptLeadership(proved)
+		f.indexGone()
+		assert.Equal(t, len(missing()), 0, "they are known to hold nothing that the others lack")
+	}
 }
--- a/edge/control/tables.go
+++ b/edge/control/tables.go
@@ -252,6 +252,7 @@
 			}
 		}
 	}
+	c.indexGone()
 }
 
 // updateFleet adopts the leadership records and members of the fleet's own table.
--- a/edge/control/users.go
+++ b/edge/control/users.go
@@ -488,6 +488,9 @@
 // whether the record is stored.
 func (c *Controller) join(ctx context.Context, old catalog.Leadership, g *group) bool {
 	l := old.WithUser(c.Self.ID)
+	if c.runInLoop(ctx, func() { c.nameFirstReplicas(&l, old) }) != nil {
+		return false
+	}
 	known := c.knowing(ctx, old)
 	ok := len(old.Users) == 0 || known >= lease.Majority(len(old.Users))
 	if !ok && !slices.Contains(old.Removed, c.Self.ID) && c.runInLoop(ctx, func() { ok = c.mostAreLost(c.Clock.Now(), old, g) }) == nil {
--- a/edge/pool/pool.go
+++ b/edge/pool/pool.go
@@ -124,9 +124,11 @@
 	// run. priority is that of its requests.
 	primaryOnly bool
 	priority    int
-	// active is true while a statement is in flight, since startedAt.
-	active    bool
-	startedAt time.Duration
+	// active is true while a statement is in flight, since startedAt. positionBefore is the
+	// highest position that the group's primary had reported by then.
+	active         bool
+	startedAt      time.Duration
+	positionBefore fleet.LogPosition
 	// idleSince is when the last statement ended. ended is set if the transaction on the
 	// connection was ended because its caller was idle; the connection is closed then.
 	idleSince time.Duration
@@ -206,6 +208,10 @@
 	// later, when the last settled record became known here; zero if there is none yet.
 	acknowledged, base fleet.LogPosition
 	baseFrom           time.Duration
+	// leastAcknowledged is a position that no log with all of these commits ends before. It
+	// counts for the primary that took over with settledTerm.
+	leastAcknowledged fleet.LogPosition
+	settledTerm       fleet.Term
 	// changedAt is when the group's leadership record last changed, and
 	// unsettledAt when it last changed from settled to unsettled.
 	changedAt, unsettledAt time.Duration
@@ -409,6 +415,9 @@
 		if now.Settled && now.Order() != before.Order() {
 			g.base, g.baseFrom = fleet.LogPosition{}, p.clock.Now()
 		}
+		if now.Settled && now.PrimaryTerm != g.settledTerm {
+			g.leastAcknowledged, g.settledTerm = fleet.LogPosition{}, now.PrimaryTerm
+		}
 		if !before.Equal(now) {
 			g.changedAt = p.clock.Now()
 			if before.Settled && !now.Settled {
@@ -724,6 +733,7 @@
 func (p *Pool) markInFlight(c *Conn, now time.Duration) {
 	if !c.active {
 		c.active, c.startedAt = true, now
+		c.positionBefore = p.group(c.endpoint.Group).positions.Newest()
 		c.endpoint.recordInFlight(c, now, 1)
 		p.inFlight[c.account]++
 	}
@@ -926,6 +936,19 @@
 	defer p.mu.Unlock()
 	g := p.group(c.catalogEntry.Group)
 	g.acknowledged = g.acknowledged.Max(at)
+	// A commit gets the next number, so one above all that was reported before it was sent.
+	if before := c.positionBefore; before.Term == at.Term && before.Position < at.Position {
+		before.Position++
+		g.leastAcknowledged = g.leastAcknowledged.Max(before)
+	}
+}
+
+// LeastAcknowledged returns a position that no log with all commits which this instance has
+// acknowledged to callers ends before, zero if none is known.
+func (p *Pool) LeastAcknowledged(id fleet.GroupID) fleet.LogPosition {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group(id).leastAcknowledged
 }
 
 // Acknowledged returns a position that covers every commit which this instance has acknowledged
--- a/edge/pool/pool_test.go
+++ b/edge/pool/pool_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
 	"github.com/vanillahinge/vanillahinge/edge/clock"
 	"github.com/vanillahinge/vanillahinge/edge/telemetry"
 	"github.com/vanillahinge/vanillahinge/edge/view"
@@ -68,3 +69,37 @@
 	assert.Assert(t, show(false).mayBeUsed(p.clock.Now(), p.drainTime))
 	assert.Assert(t, show(true).mayBeUsed(p.clock.Now(), p.drainTime), "it has just said so")
 }
+
+// Guards against acknowledged commits that are lost because a log is promoted which ends before
+// what was reported when one of them was sent (review/11), and against a bound that no log can
+// reach: that of an answer may count commits which nobody was told of.
+func TestLeastAcknowledgedPosition(t *testing.T) {
+	p, _, _ := evacuationPool("z2")
+	at := func(n fleet.Position) fleet.LogPosition { return fleet.LogPosition{Term: 1, Position: n} }
+	commit := func(reported fleet.Position) {
+		c, err := p.Acquire(request(true, p))
+		assert.NilError(t, err)
+		p.EndStatement(c, stmt.Answer{Code: stmt.OK, Position: at(reported), State: stmt.Idle}, nil)
+		p.RecordCommit(c, at(reported))
+		p.Release(c, true)
+	}
+	commit(5)
+	assert.Equal(t, p.LeastAcknowledged("g"), fleet.LogPosition{}, "nothing had been reported before it")
+	commit(9)
+	assert.Equal(t, p.LeastAcknowledged("g"), at(6))
+	commit(9)
+	assert.Equal(t, p.LeastAcknowledged("g"), at(6), "it is no later than what was reported")
+
+	leads := p.view.Leaders["g"]
+	show := func(l catalog.Leadership) {
+		v := *p.view
+		v.Leaders = map[fleet.GroupID]catalog.Leadership{"g": l}
+		p.SetView(&v)
+	}
+	claim := leads
+	claim.Settled, claim.Primary, claim.Version = false, "", claim.Version+1
+	show(claim)
+	assert.Equal(t, p.LeastAcknowledged("g"), at(6), "the holder of the change asks for it")
+	show(claim.Settle("b", 2))
+	assert.Equal(t, p.LeastAcknowledged("g"), fleet.LogPosition{}, "another primary leads, with what was kept")
+}
