core/takeover: a former primary with an unknown term has not taken over

Before the first change of a group no record tells the term of its primary. The holder took the term of the last answer that it had had, 0 if none, and whatever leads a term above that for an endpoint that has taken over, so the former primary itself. Its own term was 1 then, so that its pauses and its demotion changed nothing.

takeover.RoleOf tells them apart without the term while nobody may have been promoted, and the record of a holder that may promote (takeover.Promoting) carries the highest term that the endpoints have told. Replicas are paused, and the old primary demoted, above it. FormerTerm, TermBefore and HasTakenOver are gone; their tests assert the same cases of RoleOf.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -173,8 +173,9 @@
 	RenewedEra uint64 `json:",omitempty"`
 	Term       fleet.Term
 	Primary    fleet.EndpointID
-	// PrimaryTerm is the log term with which the last primary took over, 0 if there has
-	// been no change. Any endpoint but Former that leads a later one was promoted since.
+	// PrimaryTerm is the log term with which the last primary took over, 0 if it is not known:
+	// there has been no change, and none that may have promoted an endpoint. Any endpoint that
+	// leads a later one was promoted since.
 	PrimaryTerm fleet.Term `json:",omitempty"`
 	// Former is the primary before Primary.
 	Former fleet.EndpointID
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -60,10 +60,16 @@
 	return l
 }
 
-// Promoting returns the record of a holder that may promote from now on.
-func Promoting(l catalog.Leadership, era uint64) catalog.Leadership {
+// Promoting returns the record of a holder that may promote from now on. known is the highest
+// term that the endpoints have told. Before the first change of a group no record tells the
+// term of its primary, and this is the last moment to learn it: nobody leads a later one yet.
+func Promoting(l catalog.Leadership, era uint64, known fleet.Term) catalog.Leadership {
+	if l.PrimaryTerm == 0 && !mayHavePromoted(l) {
+		l.PrimaryTerm = known
+	}
 	l = l.Next(era)
 	l.Confirming = false
+	l.Term = max(l.Term, l.PrimaryTerm+1)
 	return l
 }
 
--- a/core/takeover/search_test.go
+++ b/core/takeover/search_test.go
@@ -587,7 +587,7 @@
 		if s.effective(ch) {
 			emit("begins to promote", i, 0, func(x *searchState) {
 				r := ch.record
-				r.order, r.confirming = int8(Promoting(r.record(), 0).Revision), false
+				r.order, r.confirming = int8(Promoting(r.record(), 0, 0).Revision), false
 				r.version++
 				x.stored, x.nodes[i].change.record, x.nodes[i].change.claimAge = r, r, 0
 				s.learn(x, i, r)
--- a/core/takeover/sync_search_test.go
+++ b/core/takeover/sync_search_test.go
@@ -52,6 +52,9 @@
 	former       int8
 	previousTerm int8
 	planned      bool
+	// promoting is set once a holder may have promoted an endpoint; then the record tells the term
+	// of the former primary.
+	promoting bool
 	// formerLost is set if the old primary has crashed, before the change or during it.
 	formerLost bool
 	// targetLen is the length of the old primary's log and targetEntry its last entry, if
@@ -84,6 +87,9 @@
 	// since the holder or the keeper was started.
 	named, remembered uint8
 	unnamed           bool
+	// withoutPrimary is set if a holder takes the old primary, which leads, for one that has taken
+	// over: the platform changes nothing, and the change never ends.
+	withoutPrimary bool
 	// What has happened, against the bounds of the search.
 	changes, crashes, leaves, lapses, refusals, stops, restarts int8
 }
@@ -94,12 +100,14 @@
 	// receive before the record names it, and leastKnown lets the users tell a position that no log
 	// with all acknowledged commits ends before.
 	unnamed, namedLate, leastKnown bool
+	// unknownTerm begins with a record that does not tell the term of its primary.
+	unknownTerm bool
 	// twoDown lets two endpoints be down at once. acknowledgedKnown is set if the users tell
 	// the holder what they have acknowledged.
 	twoDown, acknowledgedKnown bool
 	// Mutations.
 	availabilityFirst, firstAnswerDecides, forgetRefused, promoteUnanswered, forgetLapsed, forgetSuccessor, ignoreFormer, forgetDropped, partlyAcknowledged bool
-	ignoreNamed, dropUnproved, dropRunning, unknownIsEmpty                                                                                                  bool
+	ignoreNamed, dropUnproved, dropRunning, unknownIsEmpty, unknownTermIsZero                                                                               bool
 }
 
 func (e *syncEndpoint) len() int8 {
@@ -325,6 +333,31 @@
 	}
 }
 
+// asksFormer reports whether the old primary answers the holder, and still leads its term.
+func (s *syncSearch) asksFormer(st *syncState) bool {
+	ch := &st.change
+	return !st.endpoints[ch.former].down && st.leader == ch.former && st.term == ch.previousTerm
+}
+
+// roleOf returns the role of an endpoint that has reported a state to the holder.
+func (s *syncSearch) roleOf(st *syncState, r int, state stmt.EndpointState) Role {
+	ch := &st.change
+	if s.unknownTermIsZero && s.unknownTerm && !ch.promoting {
+		if state.Primary && state.Term > 0 {
+			return Successor
+		}
+		return Follower
+	}
+	record := catalog.Leadership{Confirming: !ch.promoting}
+	if ch.former != none {
+		record.Former = fleet.EndpointID('0' + rune(ch.former))
+	}
+	if !s.unknownTerm || ch.promoting {
+		record.PrimaryTerm = fleet.Term(ch.previousTerm)
+	}
+	return RoleOf(record, fleet.EndpointID('0'+rune(r)), state)
+}
+
 // carryOut yields the actions of the holder of a change and what it gets for answers.
 func (s *syncSearch) carryOut(st syncState, emit func(string, func(*syncState))) {
 	ch := &st.change
@@ -335,13 +368,20 @@
 			continue
 		}
 		emit(fmt.Sprintf("endpoint %d answers", r), func(x *syncState) {
-			x.change.answered[r] = syncAnswer{true, e.len(), e.last(), e.term, x.leader == int8(r) && x.term > ch.previousTerm}
+			state := stmt.EndpointState{Primary: x.leader == int8(r), Term: fleet.Term(e.term)}
+			x.change.answered[r] = syncAnswer{true, e.len(), e.last(), e.term, s.roleOf(x, r, state) == Successor}
 		})
 	}
+	if former := ch.former; former != none && s.asksFormer(&st) {
+		state := stmt.EndpointState{Primary: true, Term: fleet.Term(st.endpoints[former].term)}
+		if s.roleOf(&st, int(former), state) == Successor {
+			emit("the old primary passes for its successor", func(x *syncState) { x.withoutPrimary = true })
+		}
+	}
 	if ch.targetKnown && (ch.former == none || st.endpoints[ch.former].down) {
 		emit("the old primary does not answer any more", func(x *syncState) { x.change.targetKnown = false })
 	}
-	if former := ch.former; s.twoDown && !ch.planned && former != none && !st.endpoints[former].down && st.leader == former && st.term == ch.previousTerm {
+	if former := ch.former; s.twoDown && !ch.planned && former != none && s.asksFormer(&st) {
 		emit("the old primary is back", func(x *syncState) {
 			x.targetFrom(former)
 			x.change.formerLost = false
@@ -412,7 +452,7 @@
 	chosen := int(best.Endpoint[0] - '0')
 	if st.endpoints[chosen].down || st.refusals < s.maxRefusals {
 		emit(fmt.Sprintf("the platform refuses endpoint %d", chosen), func(x *syncState) {
-			x.change.refused[chosen] = true
+			x.change.refused[chosen], x.change.promoting = true, true
 			if !st.endpoints[chosen].down {
 				x.refusals++
 			}
@@ -427,6 +467,7 @@
 			x.term++
 			x.endpoints[chosen].term = x.term
 		}
+		x.change.promoting = true
 	}
 	emit(fmt.Sprintf("endpoint %d takes over", chosen), lead)
 	emit(fmt.Sprintf("endpoint %d takes over and the record is settled", chosen), func(x *syncState) {
@@ -470,6 +511,9 @@
 				if id := to.lost(); to.term != st.term && id != 0 {
 					play = fmt.Sprintf("%s; it lacks commit %d", describeSync(origins, h, hash(first)), id)
 				}
+				if to.withoutPrimary {
+					play = describeSync(origins, h, hash(first))
+				}
 			})
 		}
 		queue = next
@@ -511,11 +555,13 @@
 		{twoDown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
 		{twoDown: true, unnamed: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
 		{twoDown: true, namedLate: true, leastKnown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
-		{maxChanges: 1, maxCrashes: 1, maxLeaves: 1, maxRestarts: 1},
+		{maxChanges: 1, maxLeaves: 1, maxRestarts: 1},
+		{unknownTerm: true, twoDown: true, maxChanges: 1, maxCrashes: 1, maxStops: 1},
+		{unknownTerm: true, maxChanges: 1, maxCrashes: 1, maxLeaves: 1},
 	} {
 		play, states := s.run()
-		t.Logf("two down %v, acknowledged known %v, least known %v, record without replicas %v, named late %v, %d changes, %d crashes, %d leave, %d lapse, %d refusals, %d holders stop, %d restarts: %d states",
-			s.twoDown, s.acknowledgedKnown, s.leastKnown, s.unnamed, s.namedLate, s.maxChanges, s.maxCrashes, s.maxLeaves, s.maxLapses, s.maxRefusals, s.maxStops, s.maxRestarts, states)
+		t.Logf("two down %v, term unknown %v, acknowledged known %v, least known %v, record without replicas %v, named late %v, %d changes, %d crashes, %d leave, %d lapse, %d refusals, %d holders stop, %d restarts: %d states",
+			s.twoDown, s.unknownTerm, s.acknowledgedKnown, s.leastKnown, s.unnamed, s.namedLate, s.maxChanges, s.maxCrashes, s.maxLeaves, s.maxLapses, s.maxRefusals, s.maxStops, s.maxRestarts, states)
 		assert.Equal(t, play, "")
 		assert.Assert(t, states < maxSyncStates)
 	}
@@ -533,6 +579,8 @@
 		"the successor of a primary is forgotten": {forgetSuccessor: true, forgetDropped: true, maxChanges: 2, maxCrashes: 1, maxLeaves: 1},
 		"the log of the old primary is ignored":   {ignoreFormer: true, forgetDropped: true, maxChanges: 1, maxCrashes: 1, maxLeaves: 1},
 		"an endpoint that left the list is gone":  {forgetDropped: true, twoDown: true, maxChanges: 1, maxCrashes: 2},
+		"an unknown term is zero":                 {unknownTermIsZero: true, unknownTerm: true, maxChanges: 1, maxLeaves: 1},
+		"an unknown term is zero after a crash":   {unknownTermIsZero: true, unknownTerm: true, twoDown: true, maxChanges: 1, maxCrashes: 1},
 		"the memory of replicas is lost":          {ignoreNamed: true, twoDown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
 		"a replica is dropped without proof":      {dropUnproved: true, twoDown: true, maxChanges: 1, maxCrashes: 2, maxRestarts: 1},
 		"a replica that runs is dropped":          {dropRunning: true, twoDown: true, maxChanges: 1, maxCrashes: 2, maxLapses: 1, maxRestarts: 1},
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -231,10 +231,39 @@
 	})
 }
 
-// HasTakenOver reports whether a promoted endpoint is now the primary, at a term above
-// all that were known before the promotion. Until then a former primary that was cut
-// off may still report itself as primary at its old term.
-func HasTakenOver(s stmt.EndpointState, before fleet.Term) bool { return s.Primary && s.Term > before }
+// Role is the part of an endpoint in a change of primary.
+type Role uint8
+
+const (
+	// Follower does not lead, or leads a term from before that of the former primary: it was cut
+	// off from the change that ended that term.
+	Follower Role = iota
+	// FormerPrimary still leads the term of the primary that is replaced, maybe under another id.
+	FormerPrimary
+	// Successor has taken over since.
+	Successor
+)
+
+// RoleOf returns the role of an endpoint that has reported a state to the holder of a change. The
+// term of the former primary may be unknown, which is no term that all others are above: until
+// an endpoint may have been promoted, whatever leads is the former primary. From then on the
+// record tells its term; see Promoting. It does not if it is by an instance of an earlier
+// version or no endpoint has told a term.
+func RoleOf(record catalog.Leadership, id fleet.EndpointID, s stmt.EndpointState) Role {
+	switch {
+	case !s.Primary || s.Term < record.PrimaryTerm:
+		return Follower
+	case record.PrimaryTerm > 0 && s.Term > record.PrimaryTerm:
+		return Successor
+	case record.PrimaryTerm > 0 || !mayHavePromoted(record) || id == record.Former:
+		return FormerPrimary
+	}
+	return Successor
+}
+
+// mayHavePromoted reports whether a holder of the change with an unsettled record may have
+// promoted an endpoint, the one of this record included.
+func mayHavePromoted(l catalog.Leadership) bool { return !l.Confirming || l.MayHavePromoted }
 
 // HighestTerm returns the highest of known and the terms that the candidates know.
 func HighestTerm(known fleet.Term, candidates []Candidate) fleet.Term {
@@ -244,25 +273,6 @@
 	return known
 }
 
-// TermBefore returns the term above which a chosen candidate has taken over, given the term
-// before the change. If the record does not tell that term, the candidates may know it,
-// unless the chosen one has taken over already.
-func TermBefore(former fleet.Term, record catalog.Leadership, chosen Candidate, candidates []Candidate) fleet.Term {
-	if record.PrimaryTerm > 0 || chosen.TakenOver && chosen.Term == HighestTerm(0, candidates) {
-		return former
-	}
-	return HighestTerm(former, candidates)
-}
-
-// FormerTerm returns the term before a change: that with which the last primary took over,
-// or, if there has been no change, the newest one that the primary has reported.
-func FormerTerm(record catalog.Leadership, reported fleet.Term) fleet.Term {
-	if record.PrimaryTerm > 0 {
-		return record.PrimaryTerm
-	}
-	return reported
-}
-
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -19,12 +19,45 @@
 	candidates := []Candidate{{Endpoint: "former", Term: 1, TakenOver: true, Suspect: true}, {Endpoint: "other", Term: 2}}
 	best, _ := Choose(candidates, 0)
 	assert.Equal(t, best.Endpoint, fleet.EndpointID("other"))
-	before := TermBefore(1, catalog.Leadership{}, candidates[0], candidates)
-	assert.Equal(t, before, fleet.Term(2))
-	assert.Assert(t, !HasTakenOver(stmt.EndpointState{Primary: true, Term: 1}, before))
-	assert.Assert(t, !HasTakenOver(stmt.EndpointState{Primary: true, Term: 2}, before))
-	assert.Assert(t, !HasTakenOver(stmt.EndpointState{Primary: false, Term: 3}, before))
-	assert.Assert(t, HasTakenOver(stmt.EndpointState{Primary: true, Term: 3}, before))
+	record := Promoting(catalog.Leadership{Former: "p", Confirming: true}, 0, HighestTerm(1, candidates))
+	assert.Equal(t, record.PrimaryTerm, fleet.Term(2))
+	for _, k := range []struct {
+		state stmt.EndpointState
+		want  Role
+	}{
+		{stmt.EndpointState{Primary: true, Term: 1}, Follower},
+		{stmt.EndpointState{Primary: true, Term: 2}, FormerPrimary},
+		{stmt.EndpointState{Primary: false, Term: 3}, Follower},
+		{stmt.EndpointState{Primary: true, Term: 3}, Successor},
+	} {
+		assert.Equal(t, RoleOf(record, "former", k.state), k.want, "%+v", k.state)
+	}
+}
+
+// Guards against a former primary that counts as one that has taken over, or the other way round,
+// because its term is not known (review/12, review/13).
+func TestRoleOfWithUnknownTerm(t *testing.T) {
+	leads := stmt.EndpointState{Primary: true, Term: 1}
+	confirming := catalog.Leadership{Former: "p", Confirming: true}
+	for name, k := range map[string]struct {
+		record catalog.Leadership
+		id     fleet.EndpointID
+		state  stmt.EndpointState
+		want   Role
+	}{
+		"before a promotion":                 {confirming, "p", leads, FormerPrimary},
+		"under another id":                   {confirming, "p2", leads, FormerPrimary},
+		"a replica":                          {confirming, "r", stmt.EndpointState{Term: 1}, Follower},
+		"it has been told before":            {Promoting(confirming, 0, 1), "p", leads, FormerPrimary},
+		"another one since":                  {Promoting(confirming, 0, 1), "r", stmt.EndpointState{Primary: true, Term: 2}, Successor},
+		"another holder since":               {Claim(Promoting(confirming, 0, 1), 0, Claimant{}, 0), "r", stmt.EndpointState{Primary: true, Term: 2}, Successor},
+		"nobody has told it":                 {Promoting(confirming, 0, 0), "r", leads, Successor},
+		"nobody has told it, the former one": {Promoting(confirming, 0, 0), "p", leads, FormerPrimary},
+	} {
+		assert.Equal(t, RoleOf(k.record, k.id, k.state), k.want, name)
+	}
+	assert.Equal(t, Promoting(Claim(Promoting(confirming, 0, 0), 0, Claimant{}, 0), 0, 2).PrimaryTerm, fleet.Term(0), "the term may be that of a promoted endpoint")
+	assert.Equal(t, Promoting(confirming, 0, 4).Term, fleet.Term(5), "the old primary is demoted with it")
 }
 
 // A leaving endpoint, or a suspect one that most instances may not reach, must not be
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -157,6 +157,9 @@
 	acknowledged fleet.LogPosition
 	// leastAcknowledged is a position that no log with all acknowledged commits ends before.
 	leastAcknowledged fleet.LogPosition
+	// knownTerm is the highest term that an endpoint of the group has told during the change, 0 if
+	// none has.
+	knownTerm fleet.Term
 	// putOff is set once no log was known to hold all acknowledged commits.
 	putOff bool
 	// removal is set if users are removed and the primary stays. There is no call to the
@@ -588,14 +591,15 @@
 			// An earlier holder or an earlier round may have paused them.
 			ask = stmt.Statement{Kind: stmt.Resume}
 		case g.syncReplicas > 0:
-			// Replicas that stop receiving acknowledge no more commits of the old
-			// primary.
-			ask = stmt.Statement{Kind: stmt.Pause, Term: ch.record.Term}
+			// Replicas that stop receiving acknowledge no more commits of the old primary.
+			// A pause with a term that is not above theirs changes nothing.
+			ch.learnTerm(ctx, g)
+			ask = stmt.Statement{Kind: stmt.Pause, Term: max(ch.record.Term, ch.knownTerm+1)}
 		}
-		previousTerm := takeover.FormerTerm(ch.record, c.Pool.Term(ch.old.Group))
-		evidence, leads := ch.collectPositions(ctx, g, ask, former, previousTerm)
+		evidence, leads := ch.collectPositions(ctx, g, ask, former)
+		ch.knownTerm = max(takeover.HighestTerm(ch.knownTerm, evidence.Candidates), leads.state.Term)
 		candidates = len(evidence.Candidates)
-		if ch.promoteBest(ctx, g, evidence, previousTerm) {
+		if ch.promoteBest(ctx, g, evidence) {
 			if g.syncReplicas > 0 {
 				c.resumeReplicas(ch.record, g.replicas)
 			}
@@ -616,10 +620,28 @@
 	return false
 }
 
+// learnTerm asks the endpoints of a group for their terms until one has answered, unless the
+// record or an earlier answer tells the term of the former primary.
+func (ch *primaryChange) learnTerm(ctx context.Context, g groupEndpoints) {
+	if ch.record.PrimaryTerm > 0 || ch.knownTerm > 0 {
+		return
+	}
+	asked := slices.Clone(g.replicas)
+	if g.former.ID != "" {
+		asked = append(asked, g.former)
+	}
+	reports := ch.ctl.askReplicas(ctx, asked, stmt.Statement{Kind: stmt.Status}, fleet.LogPosition{})
+	defer reports.stop()
+	for deadline := ch.ctl.Clock.Now() + otherReplicasWait; ch.knownTerm == 0 && ch.ctl.Clock.Now() < deadline && sleep(ctx, changePollInterval/4); {
+		candidates, leads, _ := reports.candidates(ch.record, "")
+		ch.knownTerm = max(takeover.HighestTerm(0, candidates), leads.state.Term)
+	}
+}
+
 // promoteBest promotes the best candidate, or another one that is as good if the platform
 // refuses it. It returns false if there is none, or none that is known to hold all acknowledged
 // commits.
-func (ch *primaryChange) promoteBest(ctx context.Context, g groupEndpoints, evidence takeover.Evidence, previousTerm fleet.Term) bool {
+func (ch *primaryChange) promoteBest(ctx context.Context, g groupEndpoints, evidence takeover.Evidence) bool {
 	c := ch.ctl
 	for ch.claimValid(ctx) {
 		c.refuseEvacuated(g.replicas, evidence.Candidates)
@@ -642,7 +664,6 @@
 		if ch.record.Confirming && !ch.beginPromotion(ctx) {
 			return false
 		}
-		termBefore := takeover.TermBefore(previousTerm, ch.record, best, evidence.Candidates)
 		call, cancel := context.WithTimeout(ctx, min(promoteTimeout, ch.timeLeft()))
 		err := c.Promoter.Promote(call, ch.old.Group, best.Endpoint, ch.record.Version, func() bool { return ch.timeLeft() > 0 && !c.isEvacuated(g.replicas, best.Endpoint) })
 		cancel()
@@ -655,7 +676,7 @@
 			// Before, it may be the only endpoint with all acknowledged commits that the platform
 			// can promote: the call changes nothing for an endpoint that it takes for the primary.
 			ch.demoteFormer(g.former)
-			if term, ok := ch.awaitTakeover(ctx, g.replicas, best.Endpoint, termBefore); ok {
+			if term, ok := ch.awaitTakeover(ctx, g.replicas, best.Endpoint); ok {
 				ch.record = takeover.Complete(ch.record, best.Endpoint, term, ch.unconfirmed)
 				return true
 			}
@@ -677,7 +698,7 @@
 // store has it; see takeover.Promoting.
 func (ch *primaryChange) beginPromotion(ctx context.Context) bool {
 	c := ch.ctl
-	l := takeover.Promoting(ch.record, c.era.Load())
+	l := takeover.Promoting(ch.record, c.era.Load(), max(ch.knownTerm, c.Pool.Term(ch.old.Group)))
 	row, err := ch.encodeRow(l)
 	if err != nil {
 		c.Log.Warn("control: cannot encode the record of a promotion", "error", err.Error())
@@ -749,9 +770,9 @@
 	return fleet.LogPosition{}
 }
 
-// awaitTakeover waits until the promoted endpoint reports that it is the primary
-// at a term above previousTerm, and returns that term.
-func (ch *primaryChange) awaitTakeover(ctx context.Context, replicas []catalog.Endpoint, id fleet.EndpointID, previousTerm fleet.Term) (fleet.Term, bool) {
+// awaitTakeover waits until the promoted endpoint reports that it has taken over, and returns
+// the term that it leads.
+func (ch *primaryChange) awaitTakeover(ctx context.Context, replicas []catalog.Endpoint, id fleet.EndpointID) (fleet.Term, bool) {
 	c := ch.ctl
 	i := slices.IndexFunc(replicas, func(e catalog.Endpoint) bool { return e.ID == id })
 	var w pool.RawConn
@@ -779,7 +800,7 @@
 				w.Close()
 				w = nil
 			}
-			if takeover.HasTakenOver(s, previousTerm) {
+			if takeover.RoleOf(ch.record, id, s) == takeover.Successor {
 				c.Log.Info("control: new primary has taken over", "group", string(ch.old.Group), "endpoint", string(id),
 					"term", uint64(s.Term), "after_ms", (c.Clock.Now() - ch.startedAt).Milliseconds())
 				return s.Term, true
--- a/edge/control/evacuation_test.go
+++ b/edge/control/evacuation_test.go
@@ -49,7 +49,7 @@
 	assert.NilError(t, c.runInLoop(ctx, func() { c.adoptLeadership(ch.record) }))
 	g := groupEndpoints{replicas: []catalog.Endpoint{{ID: "e1", DataCentre: "z1"}}}
 	evidence := takeover.Evidence{Candidates: []takeover.Candidate{{Endpoint: "e1"}}}
-	assert.Assert(t, !ch.promoteBest(ctx, g, evidence, 1))
+	assert.Assert(t, !ch.promoteBest(ctx, g, evidence))
 	assert.Equal(t, p.calls, 1, "it is not chosen any more once the request is known")
 	assert.Equal(t, len(p.sent), 0)
 }
--- a/edge/control/positions.go
+++ b/edge/control/positions.go
@@ -107,7 +107,7 @@
 		reports := c.askReplicas(ctx, g.replicas, stmt.Statement{Kind: stmt.Status}, primary.Received)
 		defer reports.stop()
 		for deadline := c.Clock.Now() + catchUpTimeout; c.Clock.Now() < deadline; {
-			if replicas, _, _ := reports.candidates(old.Former, 0); takeover.ReadyForPlannedChange(primary.Received, replicas) {
+			if replicas, _, _ := reports.candidates(old, old.Former); takeover.ReadyForPlannedChange(primary.Received, replicas) {
 				return true
 			}
 			if !sleep(ctx, changePollInterval) {
@@ -126,11 +126,11 @@
 // collectPositions asks the replicas for their log positions. It waits until one replica that
 // stays has the position of the former primary, if that is known, or, with synchronous replicas,
 // until one is known to hold all acknowledged commits, and then up to otherReplicasWait for the
-// rest. An endpoint that leads a term above previousTerm has taken over.
+// rest.
 //
 // With synchronous replicas the former primary is asked as well. It is returned if it still
 // leads its term, maybe under another id.
-func (ch *primaryChange) collectPositions(ctx context.Context, g groupEndpoints, ask stmt.Statement, former fleet.LogPosition, previousTerm fleet.Term) (takeover.Evidence, formerPrimary) {
+func (ch *primaryChange) collectPositions(ctx context.Context, g groupEndpoints, ask stmt.Statement, former fleet.LogPosition) (takeover.Evidence, formerPrimary) {
 	c := ch.ctl
 	reports := c.askReplicas(ctx, g.replicas, ask, former)
 	if g.syncReplicas > 0 && g.former.ID != "" {
@@ -141,7 +141,7 @@
 	for {
 		e := takeover.Evidence{SyncReplicas: g.syncReplicas, Replicas: g.set, Former: former, Acknowledged: ch.acknowledged, Least: ch.leastAcknowledged}
 		var leads formerPrimary
-		e.Candidates, leads, e.Missing = reports.candidates(ch.old.Former, previousTerm)
+		e.Candidates, leads, e.Missing = reports.candidates(ch.record, ch.old.Former)
 		if leads.id != "" {
 			e.Former = leads.state.Received
 		}
@@ -240,9 +240,10 @@
 	return r
 }
 
-// candidates returns the replicas that have answered, the old primary if it leads previousTerm,
-// and how many replicas have not answered. suspect was the primary before the last one.
-func (r *replicaReports) candidates(suspect fleet.EndpointID, previousTerm fleet.Term) (out []takeover.Candidate, leads formerPrimary, missing int) {
+// candidates returns the replicas that have answered, the old primary of the change with the given
+// record if it still leads, and how many replicas have not answered. suspect was the primary
+// before the last one.
+func (r *replicaReports) candidates(record catalog.Leadership, suspect fleet.EndpointID) (out []takeover.Candidate, leads formerPrimary, missing int) {
 	r.mu.Lock()
 	found := r.found
 	for _, f := range found {
@@ -257,13 +258,16 @@
 	}
 	defer r.mu.Unlock()
 	for _, f := range found {
+		role := takeover.RoleOf(record, f.endpoint.ID, f.state)
 		switch {
 		case !f.answered:
-		case r.former != nil && f.state.Primary && f.state.Term == previousTerm:
-			leads = formerPrimary{f.endpoint.ID, f.state}
+		case r.former != nil && role == takeover.FormerPrimary:
+			if leads.id == "" || f.state.Term > leads.state.Term {
+				leads = formerPrimary{f.endpoint.ID, f.state}
+			}
 		default:
 			out = append(out, takeover.Candidate{Endpoint: f.endpoint.ID, Received: f.state.Received, Term: max(f.state.Term, f.state.Received.Term),
-				TakenOver: takeover.HasTakenOver(f.state, previousTerm), Leaving: f.endpoint.Leaving,
+				TakenOver: role == takeover.Successor, Leaving: f.endpoint.Leaving,
 				Refused:        r.ctl.View().Evacuated.Has(f.endpoint.DataCentre),
 				Suspect:        f.state.Primary || f.endpoint.ID == suspect,
 				HomeScore:      r.ctl.homeScore(f.endpoint),
