core/takeover: a former primary is no candidate for its own succession

With synchronous replicas the former primary is asked for its log beside the replicas, and was a candidate like them. The id that was chosen was looked up again among the replicas alone, with an index of -1.

takeover.MayPromote leaves it out until another endpoint may have been promoted: the platform changes nothing for the endpoint that it takes for the primary. The chosen endpoint is handed on in place of its id.

Before: TestPlannedChangeOfGroupWithoutStatements ends by the index of -1.

--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -91,6 +91,13 @@
 	return l
 }
 
+// MayPromote reports whether the holder of a change may have an endpoint promoted. The platform
+// changes nothing for the endpoint that it takes for the primary, which is the former one until
+// another may have been promoted. Its log still shows what was acknowledged.
+func MayPromote(l catalog.Leadership, id fleet.EndpointID) bool {
+	return l.Settled || id != l.Former || mayHavePromoted(l)
+}
+
 // MayWithdraw reports whether a change may be given up in favour of an endpoint with the given
 // state: it is the former primary, since it leads the term of that one. No confirmation is
 // needed: nobody has been promoted, and the write of the settled record ends the right of the
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -290,3 +290,20 @@
 		assert.Equal(t, takenOver(after, false, OwnChange, false), time.Duration(0), "mutation not detected: failure not counted")
 	}
 }
+
+// Guards against a former primary that is promoted in its own succession (review/13).
+func TestFormerPrimaryIsNoCandidate(t *testing.T) {
+	settled := catalog.Leadership{Primary: "p", Former: "r", Settled: true}
+	claimed := Claim(settled, 0, Claimant{}, 0)
+	promoting := Promoting(claimed, 0, 1)
+	for _, k := range []struct {
+		record catalog.Leadership
+		id     fleet.EndpointID
+		want   bool
+	}{
+		{settled, "r", true}, {claimed, "p", false}, {claimed, "r", true}, {Claim(claimed, 0, Claimant{}, 0), "p", false},
+		{promoting, "p", true}, {Claim(promoting, 0, Claimant{}, 0), "p", true},
+	} {
+		assert.Equal(t, MayPromote(k.record, k.id), k.want, "%s: %+v", k.id, k.record)
+	}
+}
--- a/edge/app/sync_restart_test.go
+++ b/edge/app/sync_restart_test.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -154,3 +155,21 @@
 		})
 	}
 }
+
+// Guards against instances that end, or promote the leaving primary itself, because its group has
+// had no statement yet (review/13).
+func TestPlannedChangeOfGroupWithoutStatements(t *testing.T) {
+	for syncReplicas := range 3 {
+		t.Run(fmt.Sprint(syncReplicas), func(t *testing.T) {
+			f := newSyncFleet(t, syncReplicas)
+			a, _ := f.startInstance("edge-1", true)
+			b, _ := f.startInstance("edge-2", true)
+			f.endpoints[0].Drain()
+			f.waitUntil(4*time.Second, func() bool { return !f.endpoints[0].IsPrimary() && f.record().Settled })
+			assert.Equal(t, len(f.group.Violations()), 0)
+			assert.Equal(t, metric(a, "panics")+metric(b, "panics"), 0)
+			c, _ := dial(t, a, "latest", "key-acme")
+			f.waitUntil(time.Second, func() bool { return succeeded(c.query("PUT roof after")) })
+		})
+	}
+}
--- a/edge/control/change.go
+++ b/edge/control/change.go
@@ -644,11 +644,16 @@
 func (ch *primaryChange) promoteBest(ctx context.Context, g groupEndpoints, evidence takeover.Evidence) bool {
 	c := ch.ctl
 	for ch.claimValid(ctx) {
-		c.refuseEvacuated(g.replicas, evidence.Candidates)
+		c.refuseEvacuated(g, evidence.Candidates)
 		best, ok := takeover.Choose(evidence.Candidates, evidence.SyncReplicas)
 		if !ok {
 			return false
 		}
+		chosen, ok := g.find(best.Endpoint)
+		if !ok {
+			c.Log.Warn("control: endpoint not promoted; it takes no part in the change", "group", string(ch.old.Group), "endpoint", string(best.Endpoint))
+			return false
+		}
 		if !evidence.HoldsAcknowledged(best) {
 			if ch.putOff {
 				return false
@@ -665,7 +670,7 @@
 			return false
 		}
 		call, cancel := context.WithTimeout(ctx, min(promoteTimeout, ch.timeLeft()))
-		err := c.Promoter.Promote(call, ch.old.Group, best.Endpoint, ch.record.Version, func() bool { return ch.timeLeft() > 0 && !c.isEvacuated(g.replicas, best.Endpoint) })
+		err := c.Promoter.Promote(call, ch.old.Group, best.Endpoint, ch.record.Version, func() bool { return ch.timeLeft() > 0 && !c.isEvacuated(chosen) })
 		cancel()
 		c.Metrics.Count("promotions")
 		c.Log.Info("control: promotion requested", "group", string(ch.old.Group), "endpoint", string(best.Endpoint),
@@ -675,8 +680,10 @@
 		case err == nil:
 			// Before, it may be the only endpoint with all acknowledged commits that the platform
 			// can promote: the call changes nothing for an endpoint that it takes for the primary.
-			ch.demoteFormer(g.former)
-			if term, ok := ch.awaitTakeover(ctx, g.replicas, best.Endpoint); ok {
+			if chosen.ID != g.former.ID {
+				ch.demoteFormer(g.former)
+			}
+			if term, ok := ch.awaitTakeover(ctx, chosen); ok {
 				ch.record = takeover.Complete(ch.record, best.Endpoint, term, ch.unconfirmed)
 				return true
 			}
@@ -742,8 +749,9 @@
 	if former.ID == "" {
 		return
 	}
+	term := ch.record.Term // the record changes once the new primary has taken over
 	ch.ctl.spawn(func() {
-		s, err := ch.ctl.runEndpointCommand(former, stmt.Statement{Kind: stmt.Demote, Term: ch.record.Term})
+		s, err := ch.ctl.runEndpointCommand(former, stmt.Statement{Kind: stmt.Demote, Term: term})
 		if err != nil {
 			ch.ctl.Log.Info("control: old primary not demoted", "endpoint", string(former.ID), "error", err.Error())
 			return
@@ -772,9 +780,8 @@
 
 // awaitTakeover waits until the promoted endpoint reports that it has taken over, and returns
 // the term that it leads.
-func (ch *primaryChange) awaitTakeover(ctx context.Context, replicas []catalog.Endpoint, id fleet.EndpointID) (fleet.Term, bool) {
+func (ch *primaryChange) awaitTakeover(ctx context.Context, e catalog.Endpoint) (fleet.Term, bool) {
 	c := ch.ctl
-	i := slices.IndexFunc(replicas, func(e catalog.Endpoint) bool { return e.ID == id })
 	var w pool.RawConn
 	defer func() {
 		if w != nil {
@@ -783,15 +790,15 @@
 	}()
 	for ch.claimValid(ctx) {
 		var err error
-		if !c.mayCommand(replicas[i]) {
+		if !c.mayCommand(e) {
 			return 0, false
 		}
 		if w == nil {
-			if w, _, err = c.Dialer.Open(replicas[i], c.internalAccount()); err != nil {
+			if w, _, err = c.Dialer.Open(e, c.internalAccount()); err != nil {
 				w = nil
 			}
 		}
-		if w != nil && c.mayCommand(replicas[i]) {
+		if w != nil && c.mayCommand(e) {
 			var answers []stmt.Answer
 			var s stmt.EndpointState
 			if answers, err = w.Do(time.Now().Add(endpointCallTimeout), nil, stmt.Statement{Kind: stmt.Status}); err == nil {
@@ -800,8 +807,8 @@
 				w.Close()
 				w = nil
 			}
-			if takeover.RoleOf(ch.record, id, s) == takeover.Successor {
-				c.Log.Info("control: new primary has taken over", "group", string(ch.old.Group), "endpoint", string(id),
+			if takeover.RoleOf(ch.record, e.ID, s) == takeover.Successor {
+				c.Log.Info("control: new primary has taken over", "group", string(ch.old.Group), "endpoint", string(e.ID),
 					"term", uint64(s.Term), "after_ms", (c.Clock.Now() - ch.startedAt).Milliseconds())
 				return s.Term, true
 			}
--- a/edge/control/evacuation.go
+++ b/edge/control/evacuation.go
@@ -213,16 +213,17 @@
 	return evacuated
 }
 
-// isEvacuated reports whether the data centre of one of the endpoints is being evacuated.
-func (c *Controller) isEvacuated(endpoints []catalog.Endpoint, id fleet.EndpointID) bool {
-	set := c.View().Evacuated
-	return slices.ContainsFunc(endpoints, func(e catalog.Endpoint) bool { return e.ID == id && set.Has(e.DataCentre) })
+// isEvacuated reports whether the data centre of an endpoint is being evacuated.
+func (c *Controller) isEvacuated(e catalog.Endpoint) bool {
+	return c.View().Evacuated.Has(e.DataCentre)
 }
 
 // refuseEvacuated marks the candidates that must not be promoted because their data centre is
 // being evacuated.
-func (c *Controller) refuseEvacuated(endpoints []catalog.Endpoint, candidates []takeover.Candidate) {
+func (c *Controller) refuseEvacuated(g groupEndpoints, candidates []takeover.Candidate) {
 	for i := range candidates {
-		candidates[i].Refused = candidates[i].Refused || c.isEvacuated(endpoints, candidates[i].Endpoint)
+		if e, ok := g.find(candidates[i].Endpoint); ok && c.isEvacuated(e) {
+			candidates[i].Refused = true
+		}
 	}
 }
--- a/edge/control/positions.go
+++ b/edge/control/positions.go
@@ -40,6 +40,18 @@
 	set *catalog.ReplicaSet
 }
 
+// find returns an endpoint that takes part in a change.
+func (g groupEndpoints) find(id fleet.EndpointID) (catalog.Endpoint, bool) {
+	if id == g.former.ID {
+		return g.former, true
+	}
+	i := slices.IndexFunc(g.replicas, func(e catalog.Endpoint) bool { return e.ID == id })
+	if i < 0 {
+		return catalog.Endpoint{}, false
+	}
+	return g.replicas[i], true
+}
+
 // groupEndpoints returns the endpoints of a group other than former. With synchronous replicas
 // those that have left the list are among them, unless another one has their address and so
 // their log: each may be the only one with the latest commits, and come back.
@@ -268,7 +280,7 @@
 		default:
 			out = append(out, takeover.Candidate{Endpoint: f.endpoint.ID, Received: f.state.Received, Term: max(f.state.Term, f.state.Received.Term),
 				TakenOver: role == takeover.Successor, Leaving: f.endpoint.Leaving,
-				Refused:        r.ctl.View().Evacuated.Has(f.endpoint.DataCentre),
+				Refused:        r.ctl.View().Evacuated.Has(f.endpoint.DataCentre) || !takeover.MayPromote(record, f.endpoint.ID),
 				Suspect:        f.state.Primary || f.endpoint.ID == suspect,
 				HomeScore:      r.ctl.homeScore(f.endpoint),
 				SameDataCentre: f.endpoint.DataCentre == r.ctl.Self.DataCentre})
--- a/edge/control/positions_test.go
+++ b/edge/control/positions_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +10,9 @@
 
 	"github.com/vanillahinge/vanillahinge/core/catalog"
 	"github.com/vanillahinge/vanillahinge/core/fleet"
+	"github.com/vanillahinge/vanillahinge/core/stmt"
+	"github.com/vanillahinge/vanillahinge/core/takeover"
+	"github.com/vanillahinge/vanillahinge/edge/pool"
 	"github.com/vanillahinge/vanillahinge/platform"
 )
 
@@ -102,3 +106,53 @@
 		assert.Equal(t, len(missing()), 0, "they are known to hold nothing that the others lack")
 	}
 }
+
+// stateDialer opens connections to endpoints that report to lead a term.
+type stateDialer struct{}
+
+type stateConn struct{ pool.RawConn }
+
+func (stateDialer) Probe(string) error { return nil }
+
+func (stateDialer) Open(catalog.Endpoint, fleet.AccountID) (pool.RawConn, stmt.Answer, error) {
+	return stateConn{}, stmt.Answer{}, nil
+}
+
+func (stateConn) Do(time.Time, []stmt.Answer, ...stmt.Statement) ([]stmt.Answer, error) {
+	return []stmt.Answer{{}}, nil
+}
+
+func (stateConn) Close() {}
+
+// acceptingPromoter accepts every promotion.
+type acceptingPromoter struct{ promoted []fleet.EndpointID }
+
+func (p *acceptingPromoter) Promote(_ context.Context, _ fleet.GroupID, id fleet.EndpointID, _ uint64, _ func() bool) error {
+	p.promoted = append(p.promoted, id)
+	return nil
+}
+
+func (p *acceptingPromoter) IsRefusal(error) bool { return false }
+
+// Guards against a holder that ends because the endpoint which it promotes is looked up among
+// the replicas: it is the former primary, which leads again, or has left meanwhile (review/13).
+func TestPromotedEndpointIsTheOneThatWasChosen(t *testing.T) {
+	for id, promoted := range map[fleet.EndpointID]bool{"p": true, "r": true, "gone": false} {
+		c := startController(t, 0)
+		p := &acceptingPromoter{}
+		c.Dialer, c.Promoter = stateDialer{}, p
+		c.Schema.DecodeState = func(stmt.Answer) (stmt.EndpointState, error) { return stmt.EndpointState{Primary: true, Term: 3}, nil }
+		ch := &primaryChange{ctl: c, calledAt: c.Clock.Now(), record: catalog.Leadership{Group: "bookings", Version: 9, Revision: 9, Term: 2,
+			Former: "p", PrimaryTerm: 1, MayHavePromoted: true, Holder: "self"}}
+		ch.old = ch.record
+		assert.NilError(t, c.runInLoop(t.Context(), func() { c.adoptLeadership(ch.record) }))
+		g := groupEndpoints{former: catalog.Endpoint{ID: "p"}, replicas: []catalog.Endpoint{{ID: "r"}}}
+		evidence := takeover.Evidence{Candidates: []takeover.Candidate{{Endpoint: id}}}
+		assert.Equal(t, ch.promoteBest(t.Context(), g, evidence), promoted, id)
+		if promoted {
+			assert.DeepEqual(t, p.promoted, []fleet.EndpointID{id})
+			assert.Equal(t, ch.record.Primary, id)
+			assert.Equal(t, ch.record.PrimaryTerm, fleet.Term(3))
+		}
+	}
+}
