e2e/soak: sync_replicas 0, 1 and 2, and instances that start without memory

After the other faults a replica receives nothing, the other one leaves the list and the primary is cut off; all instances are killed and started again, for half of the seeds with the store down. Both endpoints are back some seconds later.

--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -154,10 +154,8 @@
 	if seed%4 < 2 { // with and without cold endpoints
 		w.resting, w.maxConnections = 6, 14
 	}
-	if seed%3 == 1 {
-		w.syncReplicas = 1
-		g.SetSyncReplicas(1)
-	}
+	w.syncReplicas = int(seed % 3)
+	g.SetSyncReplicas(w.syncReplicas)
 	w.regions = seed%4 == 3
 	w.loss = seed%5 == 2
 	if w.cold = seed%2 == 0; w.cold {
@@ -198,6 +196,10 @@
 	}
 	heal.Wait()
 	w.evacuation()
+	if w.syncReplicas > 0 {
+		w.loseMemory()
+		time.Sleep(recoveryTime)
+	}
 	if w.loss {
 		w.loseMostUsers()
 		time.Sleep(recoveryTime)
@@ -374,6 +376,54 @@
 	w.endpoints[dark].SetIsolated(false)
 }
 
+// loseMemory loses the primary and a replica while the other replica receives nothing, and the
+// replica that is lost leaves the list. Then all instances are killed and started again, maybe while
+// the store is down, and the two are back at some time after that.
+func (w *world) loseMemory() {
+	order := w.rnd.Perm(len(w.endpoints))
+	for i, r := range order {
+		if w.endpoints[r].IsPrimary() {
+			order[0], order[i] = order[i], order[0]
+		}
+	}
+	primary, replica, behind := order[0], order[1], order[2]
+	storeDown := w.rnd.IntN(2) == 0
+	w.note("endpoint %d receives nothing, %d and then the primary %d are cut off, all instances are killed, store down %v", behind, replica, primary, storeDown)
+	w.endpoints[behind].SetDeaf(true)
+	time.Sleep(time.Duration(500+w.rnd.IntN(1000)) * time.Millisecond)
+	setCut := func(i int, cut bool) {
+		w.endpoints[i].SetIsolated(cut)
+		w.links[i].SetPartitioned(cut)
+	}
+	setCut(replica, true)
+	w.store.Delete("servers", w.endpoints[replica].ID)
+	time.Sleep(time.Duration(w.rnd.IntN(3500)) * time.Millisecond)
+	setCut(primary, true)
+	time.Sleep(time.Duration(200+w.rnd.IntN(1000)) * time.Millisecond)
+	if storeDown {
+		w.store.Refuse(503)
+	}
+	for _, in := range w.instances {
+		w.end(in, syscall.SIGKILL)
+	}
+	for _, in := range w.instances {
+		w.start(in)
+	}
+	time.Sleep(time.Duration(w.rnd.IntN(2000)) * time.Millisecond)
+	w.store.Refuse(0)
+	time.Sleep(time.Duration(w.rnd.IntN(4000)) * time.Millisecond)
+	first, second := replica, primary
+	if w.rnd.IntN(2) == 0 {
+		first, second = primary, replica
+	}
+	for _, i := range []int{first, second} {
+		setCut(i, false)
+		w.endpoints[i].Register()
+		time.Sleep(time.Duration(w.rnd.IntN(1500)) * time.Millisecond)
+	}
+	w.endpoints[behind].SetDeaf(false)
+}
+
 // replace gives the settings of an instance another name and internal address. Callers find its
 // successor where it was.
 func (w *world) replace(in *instance) {
