edge/control: a record from before the start of a process does not follow one

A process that was started again and first copied an older table from another instance passed for one, so that commits which its earlier process had acknowledged could be missing from what the users told, and a log without them be promoted (sync_replicas).

A record counts as one that follows only once the process has known all that the store had at some time since its start.

Before: TestRecordFromBeforeTheStartIsNoneThatFollows fails at its second record. Not covered: a primary that a holder has announced and the store does not know.

--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -124,6 +124,9 @@
 	// were known then, for memberRetention.
 	eraSeenAt   time.Duration
 	provenSince uint64
+	// provenHere is set once this process has known all that the store had at some time since its
+	// start.
+	provenHere bool
 	retained    map[string]memberRow
 	// order holds the members in the order of package relay.
 	order    []relay.Member
@@ -211,7 +214,8 @@
 	confirmingSince uint64
 	confirmingAt    time.Duration
 	// settledOrder is the order of the newest settled record, and ranBefore is set if this
-	// process has acted on an earlier record; see takeover.AcknowledgedCommits.
+	// process has acted on an earlier record, and this one was written since its start; see
+	// takeover.AcknowledgedCommits.
 	settledOrder uint64
 	ranBefore    bool
 	// correcting is set while this instance corrects the replicas that the record names, and
@@ -430,7 +434,7 @@
 		g.removals++
 	}
 	if l.Settled {
-		g.settledOrder, g.ranBefore = l.Order(), old.Version > 0
+		g.settledOrder, g.ranBefore = l.Order(), old.Version > 0 && c.provenHere
 	}
 	if l.Confirming && l.ConfirmingSince != g.confirmingSince {
 		g.confirmingSince, g.confirmingAt = l.ConfirmingSince, g.learnedAt
--- a/edge/control/permission_test.go
+++ b/edge/control/permission_test.go
@@ -43,3 +43,24 @@
 		assert.Equal(t, res.ProofAgeMS, int64(1001))
 	}))
 }
+
+// Guards against acknowledged commits that are lost because a process which was started again
+// first copies an older table, and then counts as one that ran before the last record was written:
+// what its earlier process acknowledged since is known to nobody.
+func TestRecordFromBeforeTheStartIsNoneThatFollows(t *testing.T) {
+	c := startController(t, 0)
+	assert.NilError(t, c.runInLoop(t.Context(), func() {
+		settled := catalog.Leadership{Group: "orders", Primary: "e1", Settled: true, Users: []fleet.InstanceID{"self"}}
+		adopt := func(revision uint64) bool {
+			settled.Version, settled.Revision = revision, revision
+			assert.Assert(t, c.adoptLeadership(settled))
+			return c.groupState("orders").ranBefore
+		}
+		assert.Assert(t, !adopt(2), "the first one that it knows")
+		assert.Assert(t, !adopt(3), "its copy of the table was older than its start")
+		c.addProof(-time.Second)
+		assert.Assert(t, !adopt(4), "and so is this proof")
+		c.addProof(c.Clock.Now())
+		assert.Assert(t, adopt(5))
+	}))
+}
--- a/edge/control/watch.go
+++ b/edge/control/watch.go
@@ -466,6 +466,7 @@
 	if !ok {
 		c.provenSince = c.era.Load()
 	}
+	c.provenHere = c.provenHere || at > 0
 	c.lease.AddProof(at)
 	c.renewLease()
 	if after, _ := c.lease.Proof(); !ok || after >= before+proofGain {
