--- a/core/takeover/replicas.go
+++ b/core/takeover/replicas.go
@@ -133,3 +133,9 @@
 	}
 	return copies >= next.Copies
 }
+
+// ProvableWithout reports whether a log can be shown to hold all acknowledged commits while some
+// replicas can't be asked: fewer than hold a copy of each.
+func ProvableWithout(unreachable, syncReplicas int, replicas *catalog.ReplicaSet) bool {
+	return syncReplicas == 0 || replicas != nil && unreachable < min(replicas.Copies, syncReplicas)
+}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -218,7 +218,7 @@
 	case e.Acknowledged != (fleet.LogPosition{}) && chosen.Received.Compare(e.Acknowledged) >= 0:
 		return true
 	}
-	return e.Replicas != nil && e.Missing < min(e.Replicas.Copies, e.SyncReplicas) &&
+	return ProvableWithout(e.Missing, e.SyncReplicas, e.Replicas) &&
 		!slices.ContainsFunc(e.Candidates, func(c Candidate) bool { return c.Received.Compare(chosen.Received) > 0 })
 }
 
--- a/edge/control/control.go
+++ b/edge/control/control.go
@@ -127,7 +127,7 @@
 	// provenHere is set once this process has known all that the store had at some time since its
 	// start.
 	provenHere bool
-	retained    map[string]memberRow
+	retained   map[string]memberRow
 	// order holds the members in the order of package relay.
 	order    []relay.Member
 	role     relay.Role
--- a/edge/control/evacuation.go
+++ b/edge/control/evacuation.go
@@ -187,8 +187,7 @@
 }
 
 // provableOutside reports whether the endpoints outside the evacuated data centres can show
-// without the others that their logs hold all acknowledged commits: too few replicas are inside
-// for a commit to have been acknowledged by them alone.
+// without the others that their logs hold all acknowledged commits.
 func (c *Controller) provableOutside(g groupEndpoints) bool {
 	set := c.View().Evacuated
 	inside := 0
@@ -197,7 +196,7 @@
 			inside++
 		}
 	}
-	return inside == 0 || g.set != nil && inside < min(g.set.Copies, g.syncReplicas)
+	return takeover.ProvableWithout(inside, g.syncReplicas, g.set)
 }
 
 // knownAsEvacuated reports whether an endpoint is in a data centre that is being evacuated, also
--- a/edge/control/evacuation_test.go
+++ b/edge/control/evacuation_test.go
@@ -72,10 +72,12 @@
 		{2, []catalog.Endpoint{inside, inside, outside}, false},
 		{0, []catalog.Endpoint{outside}, true},
 	} {
-		assert.Equal(t, c.provableOutside(groupEndpoints{replicas: k.replicas, syncReplicas: k.sync}), k.want, "%+v", k)
+		set := &catalog.ReplicaSet{Copies: k.sync}
+		assert.Equal(t, c.provableOutside(groupEndpoints{replicas: k.replicas, syncReplicas: k.sync, set: set}), k.want, "%+v", k)
+		assert.Equal(t, c.provableOutside(groupEndpoints{replicas: k.replicas, syncReplicas: k.sync}), k.sync == 0, "the replicas are not known: %+v", k)
 	}
 	c.view.Store(&view.View{})
-	assert.Assert(t, c.provableOutside(groupEndpoints{replicas: []catalog.Endpoint{inside, outside}, syncReplicas: 1}))
+	assert.Assert(t, c.provableOutside(groupEndpoints{replicas: []catalog.Endpoint{inside, outside}, syncReplicas: 1, set: &catalog.ReplicaSet{Copies: 1}}))
 }
 
 // Guards against commands of a change of primary that reach the data centre after their time.
