edge/control: a replica that can't be asked is not dropped from the record

With sync_replicas a replica that has left the list is dropped once the others have all that the primary had, and only if it does not answer. One in a data centre that is being evacuated was not asked, and so passed for one that does not run. Found by reading.

Before: TestReplicaThatCannotBeAskedIsNotDropped fails at its last check.

--- a/edge/control/positions_test.go
+++ b/edge/control/positions_test.go
@@ -156,3 +156,22 @@
 		}
 	}
 }
+
+// Guards against a replica that is dropped because nothing may be sent to it: it may run, and have
+// what the others lack.
+func TestReplicaThatCannotBeAskedIsNotDropped(t *testing.T) {
+	c := startController(t, 0)
+	loadTables(t, c)
+	c.Dialer = stateDialer{}
+	c.Schema.DecodeState = func(stmt.Answer) (stmt.EndpointState, error) {
+		return stmt.EndpointState{Primary: true, Term: 3, Received: fleet.LogPosition{Term: 3, Position: 5}}, nil
+	}
+	p, r, x := catalog.Endpoint{ID: "p"}, catalog.Endpoint{ID: "r"}, catalog.Endpoint{ID: "x", DataCentre: "z1"}
+	assert.NilError(t, c.runInLoop(t.Context(), func() { c.listedByGroup["bookings"] = []catalog.Endpoint{p, r} }))
+	record := catalog.Leadership{Group: "bookings", Primary: "p", PrimaryTerm: 3, Settled: true}
+	next := &catalog.ReplicaSet{Copies: 1, Members: []catalog.ReplicaMember{{ID: "p"}, {ID: "r"}}}
+	assert.Assert(t, c.proveReplicas(t.Context(), record, next, p, nil))
+	assert.Assert(t, !c.proveReplicas(t.Context(), record, next, p, []catalog.Endpoint{x}), "it answers")
+	c.evacuate("z1")
+	assert.Assert(t, !c.proveReplicas(t.Context(), record, next, p, []catalog.Endpoint{x}), "nothing may be sent there")
+}
--- a/edge/control/replicas.go
+++ b/edge/control/replicas.go
@@ -103,8 +103,8 @@
 // proveReplicas asks the primary and the replicas for their logs until they prove a set, for
 // catchUpTimeout. dropped are asked as well.
 func (c *Controller) proveReplicas(ctx context.Context, record catalog.Leadership, next *catalog.ReplicaSet, primary catalog.Endpoint, dropped []catalog.Endpoint) bool {
-	if primary.ID == "" {
-		return false
+	if primary.ID == "" || slices.ContainsFunc(dropped, func(e catalog.Endpoint) bool { return !c.mayCommand(e) }) {
+		return false // one that can't be asked may run
 	}
 	state, err := c.runEndpointCommand(primary, stmt.Statement{Kind: stmt.Status})
 	if err != nil {
@@ -124,10 +124,10 @@
 	r := c.askReplicas(ctx, asked, stmt.Statement{Kind: stmt.Status}, state.Received)
 	defer r.stop()
 	for deadline := c.Clock.Now() + catchUpTimeout; c.Clock.Now() < deadline; {
-		// One that does not answer within this time does not answer.
 		if !sleep(ctx, changePollInterval) {
 			return false
 		}
+		// One that is dropped has had otherReplicasWait to answer.
 		if reports := r.received(); c.Clock.Now() >= deadline-catchUpTimeout+otherReplicasWait && takeover.ProvesReplicas(record, next, state, reports) {
 			return true
 		}
