--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -184,7 +184,7 @@
 	Holder fleet.InstanceID
 	Claim  uint64 `json:",omitempty"`
 	// Resumed is set in a claim by which an instance took over the change of an earlier process
-	// of its own; see takeover.HolderStopped.
+	// of its own; see takeover.OwnChange.
 	Resumed bool `json:",omitempty"`
 	// Settled is false while a change of primary is in progress. Until it is true
 	// no statement may be sent to any primary of the group.
